--- a/cmd/appleledge/main.go
+++ b/cmd/appleledge/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -13,6 +14,7 @@
 	"syscall"
 
 	"appleledge/internal/agent"
+	"appleledge/internal/handover"
 )
 
 // heapPart is how much of the memory limit the runtime may fill; sockets and files count too.
@@ -33,10 +35,23 @@
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
-	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB<<20)))
+	memory := heapPart * float64(cfg.MemoryMB<<20)
+	if handover.Inherits(os.Getenv) {
+		memory /= 2 // for a while two processes share the limit
+	}
+	debug.SetMemoryLimit(int64(memory))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("agent", cfg.Name)
 	reloads := agent.Reloads{Signals: hangups, Load: func() (agent.Config, error) { return agent.ReloadConfig(os.Getenv) }}
-	return agent.Run(ctx, cfg, reloads, log)
+	var sockets agent.Sockets
+	if sockets.Clients, sockets.Inherited, err = handover.Listen(os.Getenv, cfg.Listen); err != nil {
+		return err
+	}
+	if cfg.Control != "" {
+		if sockets.Control, err = net.Listen("tcp", cfg.Control); err != nil {
+			return fmt.Errorf("listening for operators: %w", err)
+		}
+	}
+	return agent.Run(ctx, cfg, reloads, sockets, log)
 }
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -17,6 +17,7 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string // host and port
+	Control   string // where operators connect; empty for nowhere
 	Seed      uint64 // for random numbers
 	Cores     float64
 	MemoryMB  int
@@ -29,8 +30,8 @@
 
 // configFile is the form of the file that PROXY_CONFIG names.
 type configFile struct {
-	Name, Listen, Discovery, Seed string
-	Limits                        struct {
+	Name, Listen, Discovery, Control, Seed string
+	Limits                                 struct {
 		Cores    float64
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int
@@ -86,7 +87,7 @@
 		return text
 	}
 	cfg = Config{Name: prefer("PROXY_NAME", f.Name), Listen: prefer("PROXY_LISTEN", f.Listen),
-		Discovery: prefer("PROXY_DISCOVERY", f.Discovery), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
+		Discovery: prefer("PROXY_DISCOVERY", f.Discovery), Control: prefer("PROXY_CONTROL", f.Control), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, acceptFor: acceptOn}
 	if cfg.Sockets <= 0 {
 		cfg.Sockets = defaultSockets
@@ -100,6 +101,11 @@
 	if _, _, err := net.SplitHostPort(cfg.Discovery); err != nil {
 		return cfg, fmt.Errorf("discovery: %w", err)
 	}
+	if cfg.Control != "" {
+		if _, _, err := net.SplitHostPort(cfg.Control); err != nil {
+			return cfg, fmt.Errorf("control: %w", err)
+		}
+	}
 	if cfg.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return cfg, fmt.Errorf("seed: %w", err)
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -70,7 +70,9 @@
 	events    chan event
 	done      chan struct{} // closed when the loop has ended
 	ready     atomic.Bool   // there is a backend to send to
+	listed    chan struct{} // closed when there first is one
 
+	first    sync.Once
 	ctx      context.Context // of the attempts
 	attempts sync.WaitGroup
 	calls    map[string]*call // open, or with attempts in flight
@@ -81,7 +83,7 @@
 
 func newLoop(b *logic.Balancer, c clock, p *pool, s *sender, log *slog.Logger) *loop {
 	return &loop{balancer: b, clock: c, pool: p, sender: s, log: log, subscribe: func() {},
-		events: make(chan event, eventQueue), done: make(chan struct{}), calls: map[string]*call{}}
+		events: make(chan event, eventQueue), done: make(chan struct{}), listed: make(chan struct{}), calls: map[string]*call{}}
 }
 
 // tell hands an event to the loop, unless it has ended.
@@ -169,6 +171,9 @@
 	l.decide(logic.ServerList{Full: e.full, Servers: servers})
 	if is := ready > 0; l.ready.Swap(is) != is {
 		l.log.Info("backends to send to", "any", is, "ready", ready)
+		if is {
+			l.first.Do(func() { close(l.listed) })
+		}
 	}
 }
 
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -10,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"appleledge/internal/connlimit"
 	"appleledge/internal/wire"
 )
 
@@ -19,6 +19,8 @@
 	headerTimeout  = 1500 * time.Millisecond // for the head of a request, from when the client connected
 	bodyTimeout    = 1200 * time.Millisecond // for the body, from when the head was read
 	clientIdle     = 2100 * time.Millisecond // an idle client connection is closed
+	drainIdle      = time.Second             // and sooner in a drain: its client has others, or is about to leave
+	drainSweep     = 100 * time.Millisecond  // how often a drain looks for those
 	maxHeader      = 16 << 10
 	heldPart       = 0.8         // of the clients' connections may hold a request; the rest can be told so at once
 	heldRetry      = time.Second // the come-back time when too much is open
@@ -29,16 +31,18 @@
 	site      wire.Site
 	loop      *loop
 	clock     clock
+	log       *slog.Logger
 	mostHeld  int64         // requests open at a time
 	acceptFor time.Duration // new connections are accepted for so long after the signal to end
 	held      atomic.Int64
-	leaving   atomic.Bool
+	phase     phase
+	accepting atomic.Bool // clients' connections are being accepted
 	crowded   func() bool // so many connections are open that answers close theirs
 }
 
 // newServer returns a server with room for so many connections from clients.
-func newServer(cfg Config, l *loop, c clock, most int) *server {
-	s := &server{site: cfg.Site, loop: l, clock: c, mostHeld: int64(heldPart * float64(most)), acceptFor: cfg.acceptFor,
+func newServer(cfg Config, l *loop, c clock, most int, log *slog.Logger) *server {
+	s := &server{site: cfg.Site, loop: l, clock: c, log: log, mostHeld: int64(heldPart * float64(most)), acceptFor: cfg.acceptFor,
 		crowded: func() bool { return false }}
 	if cfg.Site.MostHeld > 0 {
 		s.mostHeld = min(s.mostHeld, int64(cfg.Site.MostHeld))
@@ -47,25 +51,23 @@
 }
 
 // httpServer returns the net/http server that s answers for.
-func (s *server) httpServer(log *slog.Logger) *http.Server {
+func (s *server) httpServer() *http.Server {
 	return &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       clientIdle,
 		MaxHeaderBytes:    maxHeader,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		ConnState:         connState,
-		ConnContext:       connContext,
+		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelWarn),
+		ConnState:         connlimit.State,
+		ConnContext:       connlimit.Context,
 	}
 }
 
 // ServeHTTP gives each request its one answer.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := s.clock.now()
-	if s.leaving.Load() || s.crowded() {
-		w.Header().Set("Connection", "close")
-	}
 	if r.URL.Path == "/ready" {
+		s.closing(w)
 		s.readiness(w)
 		return
 	}
@@ -74,21 +76,21 @@
 		turnAway(w, err)
 		return
 	}
-	hold(r.Context())
+	connlimit.Hold(r.Context())
 	defer s.held.Add(-1)
 	if s.held.Add(1) > s.mostHeld { // nothing was sent yet, so a refusal's promise holds
-		write(w, answer{status: http.StatusServiceUnavailable, retryAfter: heldRetry})
+		s.write(w, answer{status: http.StatusServiceUnavailable, retryAfter: heldRetry})
 		return
 	}
 	s.loop.tell(arrived{c})
 	select {
 	case a := <-c.answer:
-		write(w, a)
+		s.write(w, a)
 	case <-r.Context().Done():
 		s.loop.tell(clientLeft{c})
 		panic(http.ErrAbortHandler) // a plain return would make net/http answer 200, which no backend said
 	case <-s.loop.done: // never before the server has drained
-		write(w, answer{status: http.StatusBadGateway})
+		s.write(w, answer{status: http.StatusBadGateway})
 	}
 }
 
@@ -103,15 +105,41 @@
 }
 
 func (s *server) readiness(w http.ResponseWriter) {
-	if !s.loop.ready.Load() || s.leaving.Load() {
+	if !s.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
 	io.WriteString(w, "ready\n")
 }
 
+// Ready reports whether the agent takes clients: it accepts them and has a backend to send to.
+func (s *server) Ready() bool {
+	return s.accepting.Load() && s.loop.ready.Load() && !s.phase.leaving()
+}
+
+// Drain sends clients away without ending the process: readiness says no, answers close their connections and idle ones
+// are closed. Those who come all the same are served.
+func (s *server) Drain() error { return s.steer(draining, "draining for operators") }
+
+// Activate ends a drain.
+func (s *server) Activate() error { return s.steer(serving, "taking clients for operators") }
+
+func (s *server) steer(to int32, text string) error {
+	err := s.phase.move(to)
+	s.log.Info(text, "error", err)
+	return err
+}
+
+// closing lets the answer about to be written close its connection, where the agent wants clients off or has many.
+func (s *server) closing(w http.ResponseWriter) {
+	if s.phase.leaving() || s.crowded() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // write writes an answer. An error means that the client has gone, which net/http deals with.
-func write(w http.ResponseWriter, a answer) {
+func (s *server) write(w http.ResponseWriter, a answer) {
+	s.closing(w)
 	h := w.Header()
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	if a.contentType != "" {
@@ -126,12 +154,3 @@
 	w.WriteHeader(a.status)
 	w.Write(a.body)
 }
-
-// drain stops taking requests in the order in which the clients stop sending them: idle connections close and
-// answers close theirs at once, while new connections are still accepted; then what is open is answered.
-func (s *server) drain(ctx context.Context, srv *http.Server) error {
-	s.leaving.Store(true)
-	srv.SetKeepAlivesEnabled(false)
-	sleep(ctx, s.acceptFor)
-	return srv.Shutdown(ctx)
-}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// fakeAgent is steered and asked.
+type fakeAgent struct{ draining, ending atomic.Bool }
+
+func (a *fakeAgent) Ready() bool { return !a.draining.Load() }
+
+func (a *fakeAgent) Drain() error { return a.steer(true) }
+
+func (a *fakeAgent) Activate() error { return a.steer(false) }
+
+func (a *fakeAgent) steer(drain bool) error {
+	if a.ending.Load() {
+		return errors.New("ending")
+	}
+	a.draining.Store(drain)
+	return nil
+}
+
+// start serves a fake agent's operators until the test ends.
+func start(t *testing.T) (*fakeAgent, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &fakeAgent{}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- Serve(ctx, l, a, slog.New(slog.DiscardHandler)) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return a, l.Addr().String()
+}
+
+func call(t *testing.T, addr, text string) *http.Response {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, text)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%q: %v", text, err)
+	}
+	if !resp.Close {
+		t.Errorf("%q: the connection stays open", text)
+	}
+	return resp
+}
+
+func TestCalls(t *testing.T) {
+	a, addr := start(t)
+	for _, c := range []struct {
+		line string
+		want int
+	}{
+		{"GET /v1/readyz", 200},
+		{"POST /v1/agent/drain", 200},
+		{"GET /v1/readyz", 503},
+		{"POST /v1/agent/drain", 200},
+		{"POST /v1/agent/activate", 200},
+		{"GET /v1/readyz", 200},
+		{"GET /v1/agent/drain", 405},
+		{"POST /v1/readyz", 405},
+		{"GET /v1/nothing", 404},
+		{"GET", 400},
+	} {
+		if resp := call(t, addr, c.line+" HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"); resp.StatusCode != c.want {
+			t.Errorf("%s: %d", c.line, resp.StatusCode)
+		}
+	}
+	a.ending.Store(true)
+	if resp := call(t, addr, "POST /v1/agent/activate HTTP/1.1\r\nHost: x\r\n\r\n"); resp.StatusCode != http.StatusConflict {
+		t.Errorf("activate at the end: %d", resp.StatusCode)
+	}
+}
+
+// Callers that hold connections with no whole call, more than there are places, keep no true one out: it is answered
+// while theirs would still be waited for.
+func TestHeldConnectionsKeepNobodyOut(t *testing.T) {
+	_, addr := start(t)
+	for i := range 3 * mostConns {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "GET /v1/rea")
+		}
+	}
+	if resp := call(t, addr, "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n"); resp.StatusCode != http.StatusOK {
+		t.Error(resp.Status)
+	}
+}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,73 @@
+package handover
+
+import (
+	"io"
+	"net"
+	"strconv"
+	"testing"
+)
+
+func env(fd string) func(string) string {
+	return func(name string) string {
+		if name == "PROXY_ACCEPT_FD" {
+			return fd
+		}
+		return ""
+	}
+}
+
+// Two processes accept from one inherited socket. When the one lets go of it, what comes is accepted by the other.
+func TestInheritedSocketOutlivesAProcess(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	inherit := func() net.Listener {
+		t.Helper()
+		file, err := held.(*net.TCPListener).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, inherited, err := Listen(env(strconv.Itoa(int(file.Fd()))), "127.0.0.1:1")
+		if err != nil || !inherited {
+			t.Fatal(inherited, err)
+		}
+		return l
+	}
+	old, fresh := inherit(), inherit()
+	defer fresh.Close()
+	old.Close()
+	c, err := net.Dial("tcp", held.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	near, err := fresh.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	io.WriteString(c, "x")
+	if n, err := near.Read(make([]byte, 1)); n != 1 {
+		t.Error(err)
+	}
+}
+
+func TestBindsWithoutOne(t *testing.T) {
+	l, inherited, err := Listen(env(""), "127.0.0.1:0")
+	if err != nil || inherited {
+		t.Fatal(inherited, err)
+	}
+	l.Close()
+}
+
+// A descriptor that is none, or no socket, is an error in words and no crash.
+func TestBadDescriptor(t *testing.T) {
+	for _, fd := range []string{"x", "-1", "99999999", "65000"} {
+		if l, _, err := Listen(env(fd), "127.0.0.1:0"); err == nil {
+			l.Close()
+			t.Errorf("%q gives a listener", fd)
+		}
+	}
+}
