--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"appleledge/internal/connlimit"
 	"appleledge/internal/control"
+	"appleledge/internal/metrics"
 	"appleledge/logic"
 )
 
@@ -57,18 +58,23 @@
 	clk := newClock()
 	conns := newPool(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, share.toBackends)
 	var badReport sync.Once
-	loop := newLoop(balancer, clk, conns, &sender{pool: conns, clock: clk, fields: cfg.Site.ReportFields,
+	var classes []string
+	for _, c := range cfg.Site.Logic.Classes {
+		classes = append(classes, c.Name)
+	}
+	figures := metrics.New(classes)
+	loop := newLoop(balancer, clk, conns, &sender{pool: conns, clock: clk, fields: cfg.Site.ReportFields, sent: figures.Sent,
 		noted: func(err error) {
 			badReport.Do(func() { log.Warn("passing over a malformed report; further ones are not logged", "error", err) })
-		}}, log)
+		}}, figures, log)
 	disco := newDiscovery(cfg, clk, loop.tell, log)
 	loop.subscribe = disco.ask
-	s := newServer(cfg, loop, clk, share.fromClients, log)
+	s := newServer(cfg, loop, clk, share.fromClients, figures, log)
 	clients := connlimit.New(sockets.Clients, share.fromClients)
 	s.crowded = clients.Crowded
 	if sockets.Control != nil {
 		parts.Go(func() {
-			if err := control.Serve(inner, sockets.Control, s, log); err != nil {
+			if err := control.Serve(inner, sockets.Control, s, figures, log); err != nil {
 				log.Error("operators are served no more", "error", err)
 			}
 		})
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -12,6 +12,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"appleledge/internal/metrics"
 )
 
 func TestServes(t *testing.T) {
@@ -138,7 +140,7 @@
 		r := (&running{}).newRequest(t, http.MethodGet, "/form-check", "")
 		r.Header.Set("X-Timeout", text)
 		r.Body = http.NoBody
-		c, err := s.accept(nil, r, 5*time.Second)
+		c, err := s.accept(nil, r, s.class(r), 5*time.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -153,7 +155,7 @@
 func TestTooMuchOpen(t *testing.T) {
 	b := newBackend(t, silent)
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
-	s := newServer(Config{Site: a.site}, nil, newClock(), 1, slog.New(slog.DiscardHandler))
+	s := newServer(Config{Site: a.site}, nil, newClock(), 1, metrics.New(make([]string, 3)), slog.New(slog.DiscardHandler))
 	s.mostHeld = 1
 	s.held.Store(1)
 	w := httptest.NewRecorder()
@@ -175,7 +177,7 @@
 		share := shareSockets(limit, Sockets{})
 		if to, from := share.toBackends, share.fromClients; to < 1 || from < 1 || to+from > limit-spareSockets {
 			t.Errorf("of %d: %d to backends, %d from clients", limit, to, from)
-		} else if third := limit / 3; to < third || newServer(Config{}, nil, newClock(), from, nil).mostHeld < int64(third) {
+		} else if third := limit / 3; to < third || newServer(Config{}, nil, newClock(), from, nil, nil).mostHeld < int64(third) {
 			t.Errorf("of %d: usual clients can't hold the third that is theirs", limit)
 		}
 		control := listen(t)
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -56,6 +56,7 @@
 	pool   *pool
 	clock  clock
 	fields []string // of load reports
+	sent   func()   // an attempt has been written whole
 	noted  func(err error)
 }
 
@@ -96,6 +97,7 @@
 		out.result = logic.ConnectFailed // the backend begins a request when its last byte has come
 		return false
 	}
+	s.sent()
 	resp, body, err := s.readAnswer(c, req, a)
 	if err != nil {
 		out.result = broken(err)
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -26,7 +26,7 @@
 	f := &fixture{}
 	p := newPool(2*time.Second, time.Minute, most)
 	t.Cleanup(p.close)
-	f.sender = &sender{pool: p, clock: newClock(), fields: []string{"util", "qps", "eps"},
+	f.sender = &sender{pool: p, clock: newClock(), sent: func() {}, fields: []string{"util", "qps", "eps"},
 		noted: func(err error) { f.reports = append(f.reports, err) }}
 	f.list(addr, logic.Ready, 0)
 	return f
--- /dev/null
+++ b/internal/agent/figures_test.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// figures is what operators read.
+type figures struct {
+	Downstream  map[string]map[string]int `json:"downstream_requests"`
+	Upstream    int                       `json:"upstream_requests"`
+	Pending     int
+	Members     int
+	Unavailable int `json:"members_unavailable"`
+}
+
+func (a *running) figures(t *testing.T) (f figures) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodGet, a.control+"/v1/metrics", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal([]byte(send(t, r).body), &f); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// The figures tell of each final answer as its client saw it, and of each attempt that went out whole.
+func TestFigures(t *testing.T) {
+	hold := make(chan struct{})
+	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool {
+		switch r.URL.Path {
+		case "/form-check/refused":
+			return says("HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")(c, r, n)
+		case "/pay/failed":
+			return says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")(c, r, n)
+		case "/pay/held":
+			<-hold
+		}
+		return says(served)(c, r, n)
+	})
+	d := newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0), entryText("s-2", b.Addr().String(), "Terminating", 0))
+	a := start(t, d, 0)
+	if f := a.figures(t); len(f.Downstream) != 3 || f.Members != 2 || f.Unavailable != 1 {
+		t.Errorf("at the start %+v", f)
+	}
+	pay := func(path string) *http.Request {
+		r := a.newRequest(t, http.MethodPost, path, "x")
+		r.Header.Del("Idempotency-Key")
+		return r
+	}
+	send(t, a.newRequest(t, http.MethodGet, "/form-check/refused", ""))
+	send(t, a.newRequest(t, http.MethodGet, "/form-check", ""))
+	send(t, pay("/pay/failed"))
+	bad := pay("/pay")
+	bad.Header.Del("X-Timeout")
+	send(t, bad)
+	go http.DefaultClient.Do(pay("/pay/held").WithContext(context.Background()))
+	eventually(t, "one is pending", func() bool { return a.figures(t).Pending == 1 })
+	close(hold)
+	eventually(t, "none is pending", func() bool { return a.figures(t).Pending == 0 })
+	f := a.figures(t)
+	if c := f.Downstream["form-check"]; c["completed"] != 1 || c["rejected"] != 1 || c["failed"] != 0 {
+		t.Errorf("form-check: %v", c)
+	}
+	if c := f.Downstream["pay"]; c["completed"] != 1 || c["rejected"] != 0 || c["failed"] != 2 {
+		t.Errorf("pay: %v", c)
+	}
+	if f.Upstream != b.requests() {
+		t.Errorf("%d attempts of %d", f.Upstream, b.requests())
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"appleledge/internal/metrics"
 	"appleledge/logic"
 )
 
@@ -65,6 +66,7 @@
 	clock     clock
 	pool      *pool
 	sender    *sender
+	metrics   *metrics.Metrics
 	subscribe func()
 	log       *slog.Logger
 	events    chan event
@@ -81,8 +83,8 @@
 
 const eventQueue = 1024
 
-func newLoop(b *logic.Balancer, c clock, p *pool, s *sender, log *slog.Logger) *loop {
-	return &loop{balancer: b, clock: c, pool: p, sender: s, log: log, subscribe: func() {},
+func newLoop(b *logic.Balancer, c clock, p *pool, s *sender, m *metrics.Metrics, log *slog.Logger) *loop {
+	return &loop{balancer: b, clock: c, pool: p, sender: s, metrics: m, log: log, subscribe: func() {},
 		events: make(chan event, eventQueue), done: make(chan struct{}), listed: make(chan struct{}), calls: map[string]*call{}}
 }
 
@@ -112,6 +114,7 @@
 		case <-wake.C:
 		}
 		l.fire()
+		l.metrics.SetMembers(l.pool.listed(), l.balancer.Unavailable())
 		if len(l.timers) > 0 {
 			wake.Reset(l.timers[0].due - l.clock.now())
 		}
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -130,6 +130,13 @@
 	return p.backends[id]
 }
 
+// listed is how many backends the list has.
+func (p *pool) listed() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.backends)
+}
+
 // takesNew reports whether the backend may still get something new in this life.
 func (p *pool) takesNew(b *backend) bool {
 	p.mu.Lock()
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -37,13 +37,14 @@
 
 func (e badRequest) Error() string { return e.text }
 
-// accept reads a request and checks it. The body must be there in time whatever time-out the client states.
-func (s *server) accept(w http.ResponseWriter, r *http.Request, began time.Duration) (*call, error) {
+// class is the index of a request's class, or -1.
+func (s *server) class(r *http.Request) int {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	index := slices.IndexFunc(s.site.Logic.Classes, func(c logic.Class) bool { return c.Name == name })
-	if index < 0 {
-		return nil, badRequest{http.StatusNotFound, "unknown class"}
-	}
+	return slices.IndexFunc(s.site.Logic.Classes, func(c logic.Class) bool { return c.Name == name })
+}
+
+// accept reads a request and checks it. The body must be there in time whatever time-out the client states.
+func (s *server) accept(w http.ResponseWriter, r *http.Request, index int, began time.Duration) (*call, error) {
 	class := s.site.Logic.Classes[index]
 	if err := checkForm(r, class); err != nil {
 		return nil, err
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"appleledge/internal/connlimit"
+	"appleledge/internal/metrics"
 	"appleledge/internal/wire"
 )
 
@@ -31,6 +32,7 @@
 	site      wire.Site
 	loop      *loop
 	clock     clock
+	metrics   *metrics.Metrics
 	log       *slog.Logger
 	mostHeld  int64         // requests open at a time
 	acceptFor time.Duration // new connections are accepted for so long after the signal to end
@@ -41,8 +43,8 @@
 }
 
 // newServer returns a server with room for so many connections from clients.
-func newServer(cfg Config, l *loop, c clock, most int, log *slog.Logger) *server {
-	s := &server{site: cfg.Site, loop: l, clock: c, log: log, mostHeld: int64(heldPart * float64(most)), acceptFor: cfg.acceptFor,
+func newServer(cfg Config, l *loop, c clock, most int, m *metrics.Metrics, log *slog.Logger) *server {
+	s := &server{site: cfg.Site, loop: l, clock: c, metrics: m, log: log, mostHeld: int64(heldPart * float64(most)), acceptFor: cfg.acceptFor,
 		crowded: func() bool { return false }}
 	if cfg.Site.MostHeld > 0 {
 		s.mostHeld = min(s.mostHeld, int64(cfg.Site.MostHeld))
@@ -71,26 +73,34 @@
 		s.readiness(w)
 		return
 	}
-	c, err := s.accept(w, r, began)
+	class := s.class(r)
+	if class < 0 {
+		turnAway(w, badRequest{http.StatusNotFound, "unknown class"})
+		return
+	}
+	c, err := s.accept(w, r, class, began)
 	if err != nil {
+		s.metrics.Answered(class, metrics.Failed)
 		turnAway(w, err)
 		return
 	}
+	s.metrics.Taken()
+	defer s.metrics.Released()
 	connlimit.Hold(r.Context())
 	defer s.held.Add(-1)
 	if s.held.Add(1) > s.mostHeld { // nothing was sent yet, so a refusal's promise holds
-		s.write(w, answer{status: http.StatusServiceUnavailable, retryAfter: heldRetry})
+		s.write(w, class, answer{status: http.StatusServiceUnavailable, retryAfter: heldRetry})
 		return
 	}
 	s.loop.tell(arrived{c})
 	select {
 	case a := <-c.answer:
-		s.write(w, a)
+		s.write(w, class, a)
 	case <-r.Context().Done():
 		s.loop.tell(clientLeft{c})
 		panic(http.ErrAbortHandler) // a plain return would make net/http answer 200, which no backend said
 	case <-s.loop.done: // never before the server has drained
-		s.write(w, answer{status: http.StatusBadGateway})
+		s.write(w, class, answer{status: http.StatusBadGateway})
 	}
 }
 
@@ -138,7 +148,7 @@
 }
 
 // write writes an answer. An error means that the client has gone, which net/http deals with.
-func (s *server) write(w http.ResponseWriter, a answer) {
+func (s *server) write(w http.ResponseWriter, class int, a answer) {
 	s.closing(w)
 	h := w.Header()
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -153,4 +163,16 @@
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(a.status)
 	w.Write(a.body)
+	s.metrics.Answered(class, result(a.status))
+}
+
+// result is how an answer of that status counts.
+func result(status int) metrics.Result {
+	switch status {
+	case http.StatusOK:
+		return metrics.Completed
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return metrics.Rejected
+	}
+	return metrics.Failed
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -32,11 +33,11 @@
 	Activate() error
 }
 
-// Serve answers calls until the context ends.
-func Serve(ctx context.Context, l net.Listener, a Agent, log *slog.Logger) error {
+// Serve answers calls until the context ends. The figures are given as JSON.
+func Serve(ctx context.Context, l net.Listener, a Agent, figures json.Marshaler, log *slog.Logger) error {
 	conns := connlimit.New(l, mostConns)
 	srv := &http.Server{
-		Handler:           handler(a),
+		Handler:           handler(a, figures),
 		ReadHeaderTimeout: headTimeout,
 		ReadTimeout:       callTimeout,
 		WriteTimeout:      callTimeout,
@@ -54,7 +55,7 @@
 	return nil
 }
 
-func handler(a Agent) http.Handler {
+func handler(a Agent, figures json.Marshaler) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !a.Ready() {
@@ -63,6 +64,15 @@
 		}
 		fmt.Fprintln(w, "ready")
 	})
+	mux.HandleFunc("GET /v1/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		data, err := figures.MarshalJSON()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(data)
+	})
 	steer := func(change func() error) http.HandlerFunc {
 		return func(w http.ResponseWriter, _ *http.Request) {
 			if err := change(); err != nil {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -40,7 +41,7 @@
 	a := &fakeAgent{}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- Serve(ctx, l, a, slog.New(slog.DiscardHandler)) }()
+	go func() { done <- Serve(ctx, l, a, json.RawMessage(`{"pending":3}`), slog.New(slog.DiscardHandler)) }()
 	t.Cleanup(func() {
 		stop()
 		if err := <-done; err != nil {
@@ -90,6 +91,10 @@
 			t.Errorf("%s: %d", c.line, resp.StatusCode)
 		}
 	}
+	resp := call(t, addr, "GET /v1/metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != `{"pending":3}` {
+		t.Errorf("figures %q, %v", body, err)
+	}
 	a.ending.Store(true)
 	if resp := call(t, addr, "POST /v1/agent/activate HTTP/1.1\r\nHost: x\r\n\r\n"); resp.StatusCode != http.StatusConflict {
 		t.Errorf("activate at the end: %d", resp.StatusCode)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -325,6 +325,16 @@
 	return s.until > 0 && b.well >= healthyPart*b.total
 }
 
+// Unavailable is how many servers of the list get no requests now: they drain, or are kept out as ill.
+func (b *Balancer) Unavailable() (n int) {
+	for _, s := range b.servers {
+		if s.State != Ready || b.ejected(s) {
+			n++
+		}
+	}
+	return n
+}
+
 // judge learns from an outcome how the server does. Errors and rejections come fast and make a server look
 // idle, so they lower its weight; only answers count as rate.
 func (b *Balancer) judge(a *attempt, o Outcome) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -203,6 +203,25 @@
 	}
 }
 
+// What is avoided is a server that drains and one that is kept out as ill; most can't be ill.
+func TestUnavailable(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	h.Handle(h.at, ServerList{Servers: []Server{{ID: "s0", State: Draining, Weight: 1}}})
+	for i, want := range []int{1, 2, 1} { // none ill, one of three, two of three
+		if i > 0 {
+			h.eject(h.byID[fmt.Sprint("s", i)])
+		}
+		h.weigh()
+		if n := h.Unavailable(); n != want {
+			t.Errorf("%d with one draining and %d ill", n, i)
+		}
+	}
+	h.Handle(h.at, ServerList{Servers: []Server{{ID: "s0", State: Gone}}})
+	if n := h.Unavailable(); n != 0 {
+		t.Errorf("%d when the draining one has gone", n)
+	}
+}
+
 // Guards against one costly request passing for a silent server at a quiet balancer.
 func TestOneLateAnswerEjectsNone(t *testing.T) {
 	h := newBench(t, testSettings(), 1, 1)
