Let bodies of up to 32 MB flow through bounded buffers, with chunks and slow pieces

The module learns when a request has come whole (Received) and when it can't be sent again (Spent). A body that stops now gets 400 there too where it flows: net/http ends the request's context on any read error, which a test showed as a close without a word.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,8 @@
 
 	"appleledge/internal/connlimit"
 	"appleledge/internal/control"
+	"appleledge/internal/flow"
+	"appleledge/internal/framing"
 	"appleledge/internal/metrics"
 	"appleledge/logic"
 )
@@ -28,6 +30,7 @@
 	sweepEvery   = time.Second
 	spareSockets = 24 // for the listener, discovery, the runtime and files
 	backendShare = 0.45
+	bodyPart     = 0.2 // of the memory may hold bodies
 	// Of a process that shares its descriptors with another for a while.
 	backendShareOfTwo = 0.27
 	leastSockets      = 100  // with fewer there is no point in running
@@ -63,14 +66,20 @@
 		classes = append(classes, c.Name)
 	}
 	figures := metrics.New(classes)
-	loop := newLoop(balancer, clk, conns, &sender{pool: conns, clock: clk, fields: cfg.Site.ReportFields, sent: figures.Sent,
+	memory := bodyPart * float64(int64(cfg.MemoryMB)<<20)
+	if sockets.Inherited {
+		memory /= 2
+	}
+	budget := flow.NewBudget(int64(memory))
+	loop := newLoop(balancer, clk, conns, &sender{pool: conns, clock: clk, budget: budget, fields: cfg.Site.ReportFields, sent: figures.Sent,
 		noted: func(err error) {
 			badReport.Do(func() { log.Warn("passing over a malformed report; further ones are not logged", "error", err) })
 		}}, figures, log)
 	disco := newDiscovery(cfg, clk, loop.tell, log)
 	loop.subscribe = disco.ask
 	s := newServer(cfg, loop, clk, share.fromClients, figures, log)
-	clients := connlimit.New(sockets.Clients, share.fromClients)
+	s.budget = budget
+	clients := connlimit.New(framing.Listener{Listener: sockets.Clients}, share.fromClients)
 	s.crowded = clients.Crowded
 	if sockets.Control != nil {
 		parts.Go(func() {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -4,42 +4,55 @@
 	"container/heap"
 	"context"
 	"log/slog"
-	"net/http"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"appleledge/internal/flow"
 	"appleledge/internal/metrics"
 	"appleledge/logic"
 )
 
-// call is a client's request: what the client sent, and the place for its one answer.
+// call is a client's request: what the decisions need, the message itself, and the place for its one answer.
 type call struct {
 	id            string
 	class, tenant int
 	key           string
-	method, host  string
-	url           *url.URL
-	header        http.Header
-	body          []byte
-	deadline      time.Duration
+	timeout       time.Duration // how long the answer may take from the message's last byte on
+	deadline      time.Duration // when that is over; 0 while the message still comes in
 	again         bool
 	window        time.Duration // of a keyed class: how long after the first attempt another may begin; else 0
-	answer        chan answer   // holds one, so that the loop never waits for a client
-	closed        atomic.Bool   // has its answer, or the client left; set by the loop only
+	message       message
+	answer        chan answer // holds one, so that the loop never waits for a client
+	closed        atomic.Bool // has its answer, or the client left; set by the loop only
 
 	// The loop's own:
 	sends, out int           // attempts made and in flight
 	ranSince   time.Duration // when the first attempt was sent that may have run; 0 without one
 }
 
+// verdict is what kind of answer a client gets.
+type verdict int
+
+const (
+	served    verdict = iota // with what a backend made
+	refused                  // trying again is harmless
+	failed                   // no promise about an effect
+	duplicate                // another request under its id is open
+)
+
 // answer is the final answer to a client.
 type answer struct {
-	status      int
-	body        []byte
-	contentType string
-	retryAfter  time.Duration
+	verdict    verdict
+	content    *content // of one that is served
+	retryAfter time.Duration
+}
+
+// content is what a backend made for a request. It may still be coming in when it is passed on.
+type content struct {
+	pipe   *flow.Pipe
+	length int64 // -1 when not known
+	kind   string
 }
 
 // event is something that the loop is told: one of the types below, or an outcome.
@@ -48,6 +61,11 @@
 type (
 	// arrived brings a new request.
 	arrived struct{ call *call }
+	// received says that all of a request has come whose body was not held.
+	received struct {
+		call *call
+		at   time.Duration
+	}
 	// clientLeft says that nobody waits for the answer any more.
 	clientLeft struct{ call *call }
 	// listed brings the list of backends or a change of it.
@@ -81,7 +99,11 @@
 	timers   timers
 }
 
-const eventQueue = 1024
+const (
+	eventQueue = 1024
+	// A body that comes in at the slowest pace allowed is through by then.
+	longestUpload = maxBody/slowestBody*time.Second + time.Minute
+)
 
 func newLoop(b *logic.Balancer, c clock, p *pool, s *sender, m *metrics.Metrics, log *slog.Logger) *loop {
 	return &loop{balancer: b, clock: c, pool: p, sender: s, metrics: m, log: log, subscribe: func() {},
@@ -127,11 +149,20 @@
 		l.arrive(e.call)
 	case outcome:
 		l.outcome(e)
+	case received:
+		e.call.deadline = e.at + e.call.timeout
+		l.decide(logic.Received{Request: e.call.id, Deadline: e.call.deadline})
 	case clientLeft:
 		if !e.call.closed.Load() {
 			e.call.closed.Store(true)
 			l.decide(logic.ClientGone{Request: e.call.id})
 			l.forget(e.call)
+			break
+		}
+		select {
+		case unread := <-e.call.answer:
+			unread.drop()
+		default:
 		}
 	case listed:
 		l.list(e)
@@ -147,21 +178,22 @@
 func (l *loop) arrive(c *call) {
 	if l.calls[c.id] != nil {
 		c.closed.Store(true)
-		c.answer <- answer{status: http.StatusConflict}
+		c.answer <- answer{verdict: duplicate}
 		return
 	}
 	l.calls[c.id] = c
-	l.decide(logic.Request{ID: c.id, Class: c.class, Tenant: c.tenant, Key: c.key, Deadline: c.deadline, Again: c.again})
+	l.decide(logic.Request{ID: c.id, Class: c.class, Tenant: c.tenant, Key: c.key, Deadline: c.deadline, Again: c.again,
+		Partial: c.message.body.rest != nil})
 }
 
 func (l *loop) outcome(o outcome) {
 	a, c := o.attempt, o.attempt.call
 	c.ended(o)
 	if o.result == logic.OK {
-		l.finish(c, answer{status: http.StatusOK, body: o.body, contentType: o.contentType})
+		l.finish(c, answer{verdict: served, content: o.content})
 	}
 	l.decide(logic.Outcome{Request: c.id, Attempt: a.number, Server: a.server, Result: o.result,
-		Took: l.clock.now() - a.sent, Closed: c.closed.Load(), Report: o.report})
+		Took: l.clock.now() - max(a.sent, a.written), Closed: c.closed.Load(), Spent: o.spent, Report: o.report})
 	l.forget(c)
 }
 
@@ -187,9 +219,9 @@
 		case logic.Send:
 			l.send(a)
 		case logic.Refuse:
-			l.finish(l.calls[a.Request], answer{status: http.StatusServiceUnavailable, retryAfter: a.After})
+			l.finish(l.calls[a.Request], answer{verdict: refused, retryAfter: a.After})
 		case logic.Fail:
-			l.finish(l.calls[a.Request], answer{status: http.StatusBadGateway})
+			l.finish(l.calls[a.Request], answer{verdict: failed})
 		case logic.SetTimer:
 			heap.Push(&l.timers, timer{due: l.clock.now() + a.After, token: a.Token})
 		case logic.Subscribe:
@@ -202,12 +234,15 @@
 func (l *loop) send(act logic.Action) {
 	a := l.calls[act.Request].attempt(act, l.clock.now())
 	a.backend = l.pool.backend(act.Server)
-	l.attempts.Go(func() { l.tell(l.sender.try(l.ctx, a)) })
+	l.attempts.Go(func() { l.sender.try(l.ctx, a, func(o outcome) { l.tell(o) }) })
 }
 
 // attempt is the next attempt of the request.
 func (c *call) attempt(act logic.Action, now time.Duration) *attempt {
 	a := &attempt{call: c, number: c.sends, server: act.Server, sent: now, until: c.deadline}
+	if c.deadline == 0 { // known when the body has come
+		a.until = now + longestUpload
+	}
 	if act.After > 0 {
 		a.until = min(a.until, now+act.After)
 	}
@@ -236,6 +271,7 @@
 // finish gives a request its answer, unless it has one.
 func (l *loop) finish(c *call, a answer) {
 	if c == nil || c.closed.Load() {
+		a.drop()
 		return
 	}
 	c.closed.Store(true)
@@ -243,6 +279,13 @@
 	l.forget(c)
 }
 
+// drop gives up an answer that no client gets.
+func (a answer) drop() {
+	if a.content != nil {
+		a.content.pipe.Close()
+	}
+}
+
 // forget drops a request that is over. While attempts are in flight it is kept: their outcomes still teach.
 func (l *loop) forget(c *call) {
 	if c.closed.Load() && c.out == 0 {
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -44,10 +45,33 @@
 	net.Conn
 	reader    *bufio.Reader
 	left      *io.LimitedReader // under reader: what an answer may still bring
+	timed     *timedReader      // under that
 	backend   *backend
 	idleSince time.Time
 }
 
+// timedReader reads for as long as its limit allows, which may be put off while it waits.
+type timedReader struct {
+	conn   net.Conn
+	latest time.Time                        // when something last came; zero before
+	limit  func(latest time.Time) time.Time // the time by which something must come
+}
+
+func (r *timedReader) Read(p []byte) (int, error) {
+	for {
+		if err := r.conn.SetReadDeadline(r.limit(r.latest)); err != nil {
+			return 0, err
+		}
+		n, err := r.conn.Read(p)
+		if n > 0 {
+			r.latest = time.Now()
+		} else if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(r.limit(r.latest)) {
+			continue
+		}
+		return n, err
+	}
+}
+
 // Reasons why there is no connection.
 var (
 	errNotReady = errors.New("the backend takes no new requests")
@@ -162,8 +186,9 @@
 		b.conns--
 		return nil, fmt.Errorf("connecting to %s: %w", b.id, err)
 	}
-	left := &io.LimitedReader{R: raw}
-	c = &conn{Conn: raw, reader: bufio.NewReader(left), left: left, backend: b}
+	timed := &timedReader{conn: raw}
+	left := &io.LimitedReader{R: timed}
+	c = &conn{Conn: raw, reader: bufio.NewReader(left), left: left, timed: timed, backend: b}
 	p.open[c] = struct{}{}
 	return c, nil
 }
--- /dev/null
+++ b/internal/agent/streaming_test.go
@@ -0,0 +1,294 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// longText is text whose every part differs from the others.
+func longText(n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		fmt.Fprintf(&b, "%d,", i)
+	}
+	return b.String()[:n]
+}
+
+// pay is an unsafe request with that body.
+func (a *running) pay(t *testing.T, body string) *http.Request {
+	r := a.newRequest(t, http.MethodPost, "/pay", body)
+	r.Header.Del("Idempotency-Key")
+	return r
+}
+
+// Bodies of all sizes go both ways unchanged, with a length and in chunks, and together may be far over the budget.
+func TestLongBodies(t *testing.T) {
+	for _, size := range []int{heldBody - 1, heldBody, heldBody + 1, 3 << 20} {
+		for _, chunked := range []bool{false, true} {
+			text := longText(size)
+			script := func(c net.Conn, r *http.Request, n int) bool {
+				out := bufio.NewWriter(c)
+				resp := http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1,
+					Body: io.NopCloser(strings.NewReader(text)), ContentLength: int64(size)}
+				if chunked {
+					resp.ContentLength, resp.TransferEncoding = -1, []string{"chunked"}
+				}
+				resp.Write(out)
+				return out.Flush() == nil
+			}
+			b := newBackend(t, script)
+			a := startWith(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0,
+				func(cfg *Config) { cfg.MemoryMB = 1 })
+			r := a.pay(t, text)
+			if chunked {
+				r.Body, r.ContentLength = io.NopCloser(strings.NewReader(text)), -1
+			}
+			got := send(t, r)
+			if got.status != http.StatusOK || got.body != text {
+				t.Errorf("%d, chunked %v: status %d, %d bytes", size, chunked, got.status, len(got.body))
+			}
+			if b.requests() != 1 || b.bodys[0] != text {
+				t.Errorf("%d, chunked %v: the backend saw %d requests", size, chunked, b.requests())
+			}
+			a.stop()
+		}
+	}
+}
+
+// A body over the limit is an error, whether its length says so or its chunks show it.
+func TestTooLongBody(t *testing.T) {
+	b := newBackend(t, says(servedText))
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	for _, length := range []int64{maxBody + 1, -1} {
+		r := a.pay(t, "")
+		r.Body, r.ContentLength = io.NopCloser(io.LimitReader(endless{}, maxBody+1)), length
+		client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+		if resp, err := client.Do(r); err == nil && resp.StatusCode != http.StatusRequestEntityTooLarge {
+			t.Errorf("%d: %s", length, resp.Status)
+		}
+	}
+	if b.requests() != 0 {
+		t.Error("a backend got one whole")
+	}
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// A long answer is passed on while it comes: its beginning is there before its end is written.
+func TestAnswerFlows(t *testing.T) {
+	goOn := make(chan struct{})
+	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n5\r\nfirst\r\n")
+		<-goOn
+		_, err := io.WriteString(c, "4\r\nlast\r\n0\r\nX-Sum: 1\r\n\r\n")
+		return err == nil
+	})
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	resp, err := http.DefaultClient.Do(a.pay(t, "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	first := make([]byte, 5)
+	if _, err := io.ReadFull(resp.Body, first); err != nil || string(first) != "first" {
+		t.Errorf("%q, %v", first, err)
+	}
+	close(goOn)
+	if last, err := io.ReadAll(resp.Body); err != nil || string(last) != "last" {
+		t.Errorf("%q, %v", last, err)
+	}
+	eventually(t, "it counts as served", func() bool { return a.figures(t).Downstream["pay"]["completed"] == 1 })
+	if got := send(t, a.pay(t, "x")); got.status != http.StatusOK || b.connections() != 1 {
+		t.Errorf("the connection is not used again: %d", b.connections())
+	}
+}
+
+// An answer that breaks off while it is passed on does not look whole to the client, and counts as failed.
+func TestBrokenAnswerShows(t *testing.T) {
+	for _, head := range []string{"Content-Length: 300000", "Transfer-Encoding: chunked"} {
+		b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n186a0\r\n%s", head, longText(100000))
+			return false
+		})
+		a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+		resp, err := http.DefaultClient.Do(a.pay(t, "x"))
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		if err == nil {
+			t.Errorf("%s: the client can't tell", head)
+		}
+		eventually(t, "it counts as failed", func() bool { return a.figures(t).Downstream["pay"]["failed"] == 1 })
+	}
+}
+
+// A client that leaves in the middle of an answer stops it: what nobody reads is not taken from the backend for ever.
+func TestClientLeavesFlow(t *testing.T) {
+	stopped := make(chan struct{})
+	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", 1<<10, longText(1<<10))
+		for {
+			if _, err := io.WriteString(c, chunk); err != nil {
+				close(stopped)
+				return false
+			}
+		}
+	})
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	resp, err := http.DefaultClient.Do(a.pay(t, "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.ReadFull(resp.Body, make([]byte, 1<<20))
+	resp.Body.Close()
+	<-stopped
+	eventually(t, "nothing is pending", func() bool { return a.figures(t).Pending == 0 })
+}
+
+// pieces brings a text in pieces, with a wait before each.
+type pieces struct {
+	text []string
+	wait time.Duration
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	if len(p.text) == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(p.wait)
+	n := copy(b, p.text[0])
+	if p.text[0] = p.text[0][n:]; p.text[0] == "" {
+		p.text = p.text[1:]
+	}
+	return n, nil
+}
+
+// The client's time runs from its request's last byte: one that takes longer to come in than its answer may take is
+// served, whether it is held or flows.
+func TestTimeRunsFromTheLastByte(t *testing.T) {
+	b := newBackend(t, says(servedText))
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	for _, piece := range []int{100, heldBody} {
+		r := a.pay(t, "")
+		text := longText(piece)
+		r.Body, r.ContentLength = io.NopCloser(&pieces{[]string{text, text, text, text}, 300 * time.Millisecond}), int64(4*piece)
+		r.Header.Set("X-Timeout", "900m")
+		if got := send(t, r); got.status != http.StatusOK {
+			t.Errorf("pieces of %d: %+v", piece, got)
+		}
+	}
+}
+
+// A body that stops coming is given up, and an unsafe request is not begun by a backend.
+func TestStalledUpload(t *testing.T) {
+	b := newBackend(t, says(servedText))
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	c := a.dial(t)
+	r := a.pay(t, strings.Repeat("x", 10*heldBody))
+	var text bytes.Buffer
+	r.Write(&text)
+	c.Write(text.Bytes()[:text.Len()-1])
+	if got := ends(t, c); !strings.HasPrefix(got, "HTTP/1.1 400 ") {
+		t.Errorf("%q", got)
+	}
+	if b.requests() != 0 {
+		t.Error("it was begun")
+	}
+	if f := a.figures(t); f.Pending != 0 || f.Upstream != 0 || f.Downstream["pay"]["failed"] != 1 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// When a backend breaks in the middle of a body that is not held, the request never ran, but can't be sent again: it is
+// refused at once, and the client, which goes on sending, finds the answer.
+func TestBackendBreaksDuringUpload(t *testing.T) {
+	l := listen(t)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			io.ReadFull(c, make([]byte, 2*heldBody))
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	whole := newBackend(t, says(servedText))
+	d := newFakeDiscovery(t, 1, entryText("s-1", l.Addr().String(), "Ready", 0))
+	a := start(t, d, 0)
+	d.set(2, true, entryText("s-1", l.Addr().String(), "Ready", 0), entryText("s-2", whole.Addr().String(), "Ready", 0))
+	eventually(t, "both are listed", func() bool { return a.figures(t).Members == 2 })
+	refusals := 0
+	for range 20 {
+		switch got := send(t, a.pay(t, longText(4<<20))); {
+		case got.status == http.StatusServiceUnavailable:
+			refusals++
+		case got.status != http.StatusOK:
+			t.Errorf("%+v", got)
+		}
+	}
+	if whole.requests()+refusals != 20 || refusals == 0 {
+		t.Errorf("%d refused, %d begun", refusals, whole.requests())
+	}
+	for _, body := range whole.bodys {
+		if len(body) != 4<<20 {
+			t.Errorf("a body of %d", len(body))
+		}
+	}
+}
+
+// A client that waits for leave to send its body gets it.
+func TestExpectContinue(t *testing.T) {
+	b := newBackend(t, says("HTTP/1.1 103 Early Hints\r\n\r\n"+servedText))
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	c := a.dial(t)
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, "POST /pay HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: 77\r\nX-Tenant-Id: lerwick-port\r\n"+
+		"X-Timeout: 2000m\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	in := bufio.NewReader(c)
+	if line, err := in.ReadString('\n'); err != nil || !strings.HasPrefix(line, "HTTP/1.1 100 ") {
+		t.Fatalf("%q, %v", line, err)
+	}
+	in.ReadString('\n')
+	io.WriteString(c, "body")
+	if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusOK || b.bodys[0] != "body" {
+		t.Error(resp, err)
+	}
+}
+
+// When all ends, attempts that wait for a client to read or to send do not hold it up.
+func TestEndsWithFlowsOpen(t *testing.T) {
+	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n")
+		_, err := io.Copy(c, io.LimitReader(endless{}, 30000000))
+		return err == nil
+	})
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	c := a.dial(t)
+	a.pay(t, "x").Write(c)
+	if _, err := io.ReadFull(c, make([]byte, 1000)); err != nil {
+		t.Fatal(err)
+	}
+	a.stop()
+	select {
+	case err := <-a.done:
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Fatal("the agent does not end")
+	}
+}
--- /dev/null
+++ b/internal/framing/framing_test.go
@@ -0,0 +1,56 @@
+package framing
+
+import (
+	"strings"
+	"testing"
+)
+
+// Whatever pieces the bytes come in, a length beside an encoding is seen, and nothing else is taken for one.
+func TestAmbiguous(t *testing.T) {
+	long := "POST /" + strings.Repeat("x", 500)
+	for name, c := range map[string]struct {
+		text string
+		want bool
+	}{
+		"length":              {"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nTrans", false},
+		"chunks":              {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		"both":                {"POST / HTTP/1.1\r\nContent-Length: 5\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		"both, turned round":  {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", true},
+		"in other letters":    {"POST / HTTP/1.1\ncontent-LENGTH:5\ntransfer-ENCODING:x\n\n", true},
+		"in HTTP/1.0":         {long + " HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		"a long line":         {long + " HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		"in the second":       {"GET / HTTP/1.1\r\n\r\nPOST / HTTP/1.1\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		"behind a body":       {"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcPOST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: x\r\n\r\n", true},
+		"in two heads":        {"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcPOST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		"in a body":           {"POST / HTTP/1.1\r\nContent-Length: 61\r\n\r\nP / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		"in a value":          {"GET / HTTP/1.1\r\nX: Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		"names that go on":    {"GET / HTTP/1.1\r\nContent-Length-X: 5\r\nX-Transfer-Encoding: chunked\r\n\r\n", false},
+		"behind a long value": {"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 5000) + "\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+	} {
+		for size := 1; size <= len(c.text); size = size*2 + 1 {
+			var s scanner
+			for rest := c.text; rest != ""; {
+				n := min(size, len(rest))
+				s.scan([]byte(rest[:n]))
+				rest = rest[n:]
+			}
+			if s.ambiguous != c.want {
+				t.Errorf("%s, in pieces of %d: %v", name, size, s.ambiguous)
+			}
+		}
+	}
+}
+
+func FuzzScan(f *testing.F) {
+	f.Add([]byte("POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nabcde"), 3)
+	f.Fuzz(func(t *testing.T, text []byte, cut int) {
+		var whole, parts scanner
+		whole.scan(text)
+		cut = max(0, min(cut, len(text)))
+		parts.scan(text[:cut])
+		parts.scan(text[cut:])
+		if whole.ambiguous != parts.ambiguous || whole.body != parts.body {
+			t.Errorf("cut at %d: %+v, whole %+v", cut, parts, whole)
+		}
+	})
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -169,6 +169,12 @@
 		Key           string        // what it is about; may be empty
 		Deadline      time.Duration // when the client gives this try up, on the clock of the events
 		Again         bool          // the client's own repeat, where clients say so
+		Partial       bool          // it still comes in, and can go to one server only; its Deadline comes with Received
+	}
+	// Received says that all of a Partial request has come and has gone on to its server.
+	Received struct {
+		Request  string
+		Deadline time.Duration
 	}
 	// Outcome ends one attempt. Every Send gets one. The first OK answers the client by itself.
 	Outcome struct {
@@ -178,6 +184,7 @@
 		Result  Result
 		Took    time.Duration
 		Closed  bool // the request needs no final answer any more
+		Spent   bool // the request can't be sent again, as it is not held
 		Report  Report
 	}
 	// Streaming says that a streamed answer has begun: the attempt belongs to the client now.
@@ -206,6 +213,7 @@
 func (ServerList) event()      {}
 func (ListUnavailable) event() {}
 func (Request) event()         {}
+func (Received) event()        {}
 func (Outcome) event()         {}
 func (Streaming) event()       {}
 func (ClientGone) event()      {}
@@ -251,6 +259,8 @@
 		b.resubscribe()
 	case Request:
 		b.request(e)
+	case Received:
+		b.received(e)
 	case Outcome:
 		b.outcome(e)
 	case Streaming:
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -346,7 +346,7 @@
 		b.ownRate(s, o.Took)
 		b.lateness(float64(o.Took) / float64(a.req.class.Aim))
 	case TimedOut:
-		if s.heard > a.sent && s.until == 0 {
+		if s.heard > a.owed && s.until == 0 {
 			b.lateness(1)
 			return // it answers others: the request is costly or the server in a jam, not ill
 		}
@@ -377,7 +377,9 @@
 // server.
 func (b *Balancer) missed(s *server) (n float64) {
 	for _, a := range s.inFlight {
-		n += float64(b.now-max(a.sent, s.heard)) / b.usual[a.req.Class]
+		if a.owed > 0 {
+			n += float64(b.now-max(a.owed, s.heard)) / b.usual[a.req.Class]
+		}
 	}
 	return n
 }
@@ -421,7 +423,7 @@
 // maySend is the one place that says what may be sent where; every send passes it.
 func (b *Balancer) maySend(r *request, s *server) bool {
 	if r.closed || b.now >= r.Deadline || s.State != Ready || len(r.attempts) >= b.set.MaxAttempts ||
-		r.out > 1 || r.out == 1 && !b.set.ParallelCopies {
+		r.out > 1 || r.out == 1 && !b.set.ParallelCopies || r.spent || r.Partial && r.out > 0 {
 		return false
 	}
 	first := r.mayHaveRun()
@@ -476,7 +478,10 @@
 	if len(s.inFlight) == 0 {
 		s.heard = b.now
 	}
-	a := &attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, sent: b.now, out: true}
+	a := &attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, sent: b.now, owed: b.now, out: true}
+	if r.Partial {
+		a.owed = 0
+	}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.inFlight = append(s.inFlight, a)
@@ -495,7 +500,7 @@
 	var late []*request
 	for _, s := range b.servers {
 		for _, a := range s.inFlight {
-			if b.now-a.sent > time.Duration(copyAfter*b.usual[a.req.Class]) && a.req.out == 1 {
+			if a.owed > 0 && b.now-a.owed > time.Duration(copyAfter*b.usual[a.req.Class]) && a.req.out == 1 {
 				late = append(late, a.req)
 			}
 		}
@@ -519,6 +524,7 @@
 	a := r.attempts[o.Attempt]
 	a.out, a.neverRan = false, o.Result.neverRan()
 	r.out--
+	r.spent = r.spent || o.Spent
 	a.srv.inFlight = slices.DeleteFunc(a.srv.inFlight, func(other *attempt) bool { return other == a })
 	b.report(a.srv, o.Report)
 	b.judge(a, o)
@@ -526,6 +532,8 @@
 	case r.closed || o.Closed:
 		b.close(r)
 	case r.out > 0: // the other copy goes on
+	case r.spent:
+		b.finish(r)
 	case b.budget >= 1:
 		b.budget--
 		b.try(r)
@@ -543,9 +551,11 @@
 	r := &request{Request: e, class: &b.set.Classes[e.Class]}
 	b.requests[e.ID] = r
 	b.budget = min(b.budget+retryShare, retrySaved)
-	b.token++
-	b.timers[b.token] = r
-	b.timer(b.token, r.Deadline-b.now)
+	if r.Partial {
+		r.Deadline = math.MaxInt64
+	} else {
+		b.limit(r)
+	}
 	// In a jam all cheap work may be refused, but an idle server must not wait for its trial till the end.
 	if b.refused(b.worthOf(r)) && b.trial(r) == nil {
 		b.finish(r)
@@ -554,6 +564,28 @@
 	}
 }
 
+// limit sets the timer for the request's deadline.
+func (b *Balancer) limit(r *request) {
+	b.token++
+	b.timers[b.token] = r
+	b.timer(b.token, r.Deadline-b.now)
+}
+
+// received takes the end of a request that was sent on as it came in: only now does its server owe an answer.
+func (b *Balancer) received(e Received) {
+	r := b.requests[e.Request]
+	if r == nil || !r.Partial {
+		return
+	}
+	r.Partial, r.spent, r.Deadline = false, true, e.Deadline
+	for _, a := range r.attempts {
+		a.owed = b.now
+	}
+	if !r.closed {
+		b.limit(r)
+	}
+}
+
 // setShed sets the shed level by the mean of time taken over aim. What answers say of it counts as far as
 // servers report that they are busy: else one slow server, or chance at a quiet balancer, passes for a jam.
 // By Little's law the mean is also what is in flight, each by one over its aim, over the rate of sends: there
@@ -571,7 +603,7 @@
 			busy, known = busy+(1-s.trust*(1-s.busy))*s.capacity, known+s.capacity
 		}
 		for _, a := range s.inFlight {
-			if b.now-a.sent <= a.req.class.Aim { // one out for longer hangs, or late answers tell of it
+			if a.owed > 0 && b.now-a.owed <= a.req.class.Aim { // one out for longer hangs, or late answers tell of it
 				wait, out = wait+1/a.req.class.Aim.Seconds(), out+1
 			}
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -203,6 +203,58 @@
 	}
 }
 
+// A request that still comes in owes nothing to its client and is owed nothing by its server: it makes that server no
+// silent one, gets no copy and no deadline, until its end has come.
+func TestPartialRequestIsNotOwed(t *testing.T) {
+	set := testSettings()
+	set.ParallelCopies = true
+	h := newBench(t, set, 1, 1)
+	var to string
+	for _, a := range h.Handle(h.at, Request{ID: "up", Class: 0, Partial: true}) {
+		switch a.Kind {
+		case Send:
+			to = a.Server
+		default:
+			t.Errorf("%+v", a)
+		}
+	}
+	if actions := h.tick(time.Minute); len(actions) > 0 || h.byID[to].until > 0 {
+		t.Errorf("%+v, ejected: %v", actions, h.byID[to].until > 0)
+	}
+	actions := h.Handle(h.at, Received{Request: "up", Deadline: h.at + time.Second})
+	if len(actions) != 1 || actions[0].Kind != SetTimer || actions[0].After != time.Second {
+		t.Errorf("%+v", actions)
+	}
+	if h.tick(10 * time.Second); h.byID[to].until == 0 {
+		t.Error("owing an answer for long, it is not ejected")
+	}
+	if actions := h.Handle(h.at, Received{Request: "nobody"}); len(actions) > 0 {
+		t.Errorf("%+v", actions)
+	}
+}
+
+// What is not held any more goes out no second time, also where that would be allowed; whether it may be refused
+// depends on whether it may have run.
+func TestSpentRequestIsNotRepeated(t *testing.T) {
+	for _, c := range []struct {
+		class  int
+		result Result
+		want   ActionKind
+	}{{0, Reset, Refuse}, {0, ConnectFailed, Refuse}, {1, ConnectFailed, Refuse}, {1, NotSent, Refuse}, {1, Reset, Fail}} {
+		h := newBench(t, testSettings(), 1, 1)
+		h.Handle(h.at, Request{ID: "up", Class: c.class, Partial: true})
+		a := h.Handle(h.at, Outcome{Request: "up", Result: c.result, Spent: true, Report: NoReport})
+		if len(a) != 1 || a[0].Kind != c.want {
+			t.Errorf("class %d, %v: %+v", c.class, c.result, a)
+		}
+		// With nothing of it gone, it is as any other.
+		h.Handle(h.at, Request{ID: "whole", Class: c.class, Partial: true})
+		if a := h.Handle(h.at, Outcome{Request: "whole", Result: ConnectFailed, Report: NoReport}); len(a) != 1 || a[0].Kind != Send {
+			t.Errorf("class %d: %+v", c.class, a)
+		}
+	}
+}
+
 // What is avoided is a server that drains and one that is kept out as ill; most can't be ill.
 func TestUnavailable(t *testing.T) {
 	h := newBench(t, testSettings(), 1, 1, 1, 1)
--- a/logic/state.go
+++ b/logic/state.go
@@ -65,6 +65,7 @@
 	attempts []*attempt
 	out      int // attempts in flight
 	closed   bool
+	spent    bool // it can't be sent again
 }
 
 type attempt struct {
@@ -73,6 +74,7 @@
 	zone     int // the server's when it was sent: a list may change them
 	cell     int
 	sent     time.Duration
+	owed     time.Duration // since when the server owes an answer; 0 while the request still comes in
 	out      bool
 	neverRan bool
 }
