Take answers without a length: they end with their connection

A dying backend resets, and a spoilt answer stays open, so neither passes for an end. A body may now pause for 2.2 s: at 64 kB a second a piece of 128 kB has such a gap before it.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -155,10 +155,6 @@
 		resp.Header.Get("X-Not-Processed") == "1" {
 		x.out.result = logic.Rejected
 	}
-	if !endsItself(resp) {
-		x.out.result = logic.Reset
-		return false
-	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, heldBody))
 	if err != nil {
 		x.out.result = logic.Reset
@@ -167,10 +163,11 @@
 }
 
 // serve takes in the body of an answer. A short one is checked to its end before any of it is passed on; a long one
-// flows as soon as there is much of it, or it takes time.
+// flows as soon as there is much of it, or it takes time. One with no length ends where the backend closes the connection:
+// a spoilt one stays open and a backend that dies resets it, so that neither looks like an end.
 func (x *exchange) serve(ctx context.Context, resp *http.Response) (keep bool) {
 	length := resp.ContentLength
-	if !endsItself(resp) {
+	if length > maxBody {
 		x.out.result = logic.Reset
 		return false
 	}
@@ -189,7 +186,7 @@
 			x.tell(x.out)
 		}
 	}
-	if length < 0 || length > heldBody {
+	if len(resp.TransferEncoding) > 0 || length > heldBody {
 		timer := time.AfterFunc(flowAfter, begin)
 		defer timer.Stop()
 	}
@@ -202,12 +199,6 @@
 	return err == nil && !resp.Close
 }
 
-// endsItself reports whether the body says where it ends, and not too late: one that ends where the connection does may
-// be cut.
-func endsItself(resp *http.Response) bool {
-	return resp.ContentLength <= maxBody && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
-}
-
 // errSpoilt is an answer that can't be what a backend made for the request. The request may have run.
 var errSpoilt = errors.New("spoilt answer")
 
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -121,10 +121,14 @@
 		"no length, left open":      {says("HTTP/1.1 200 OK\r\n\r\nfine"), logic.Reset, 0},
 		"interim ones without end":  {says(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2*mostInterim)), logic.Reset, 0},
 		"good, and noise behind it": {says(servedText + "\x00noise"), logic.OK, 0},
-		// It may be cut: nothing tells where it should have ended.
+		// HTTP ends such a body with the connection; a backend that dies in the middle of one resets it.
 		"no length, then closed": {func(c net.Conn, r *http.Request, n int) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nfine")
 			return false
+		}, logic.OK, 0},
+		"no length, then reset": {func(c net.Conn, r *http.Request, n int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nfine")
+			return resets(c, r, n)
 		}, logic.Reset, 0},
 		"truncated": {func(c net.Conn, r *http.Request, n int) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nfine")
--- a/internal/agent/body.go
+++ b/internal/agent/body.go
@@ -15,7 +15,7 @@
 const (
 	maxBody     = 32 << 20 // the longest body of a message
 	heldBody    = 64 << 10 // what is held of one; a body up to this is held whole, and can be sent again
-	bodyStall   = 1200 * time.Millisecond
+	bodyStall   = 2200 * time.Millisecond
 	slowestBody = 8 << 10 // bytes a second, from when the head was read; slower ones are given up
 )
 
