--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -33,7 +33,7 @@
 	// another attempt may follow; one that is being passed on has more time.
 	heldStall = 500 * time.Millisecond
 	flowStall = 5 * time.Second
-	// What is not whole by then, and may be long, is passed on as it comes.
+	// Chunks that are not whole by then are passed on as they come.
 	flowAfter   = 100 * time.Millisecond
 	writeBuffer = 32 << 10
 )
@@ -162,8 +162,8 @@
 	return err == nil && n < heldBody && !resp.Close
 }
 
-// serve takes in the body of an answer. A short one is checked to its end before any of it is passed on; a long one
-// flows as soon as there is much of it, or it takes time. One with no length ends where the backend closes the connection:
+// serve takes in the body of an answer. A short one is checked to its end before any of it is passed on; one that says it
+// is long flows at once, and one that does not say flows as soon as there is much of it, or it takes time. One with no length ends where the backend closes the connection:
 // a spoilt one stays open and a backend that dies resets it, so that neither looks like an end.
 func (x *exchange) serve(ctx context.Context, resp *http.Response) (keep bool) {
 	length := resp.ContentLength
@@ -186,7 +186,9 @@
 			x.tell(x.out)
 		}
 	}
-	if len(resp.TransferEncoding) > 0 || length > heldBody {
+	if length > heldBody {
+		begin()
+	} else if len(resp.TransferEncoding) > 0 {
 		timer := time.AfterFunc(flowAfter, begin)
 		defer timer.Stop()
 	}
--- a/internal/agent/body.go
+++ b/internal/agent/body.go
@@ -21,6 +21,9 @@
 
 var errTooLong = errors.New("the body is over 32 MiB")
 
+// errNotWhole is a request that never came whole, so that it was never taken.
+var errNotWhole = badRequest{http.StatusBadRequest, "the body is not whole"}
+
 // inflow reads a body from a client for as long as that makes progress.
 type inflow struct {
 	from  io.Reader
@@ -165,5 +168,5 @@
 	if errors.Is(err, errTooLong) {
 		return badRequest{http.StatusRequestEntityTooLarge, err.Error()}
 	}
-	return badRequest{http.StatusBadRequest, "the body is not whole"}
+	return errNotWhole
 }
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -203,3 +203,85 @@
 		t.Fatal("the failure was not told")
 	}
 }
+
+// fleet gives a follower the settings of a fleet of so many agents, and the list of an earlier life.
+func fleet(t *testing.T, url string, agents int, known string) (*discovery, chan event) {
+	t.Helper()
+	cfg, err := parseConfig(configText(url, known), noEnv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Site.Logic.Balancers = agents
+	events := make(chan event, 100)
+	d := newDiscovery(cfg, newClock(), func(ev event) { events <- ev }, slog.New(slog.DiscardHandler))
+	d.asked = true // so that the known list comes first
+	d.ask()
+	return d, events
+}
+
+// An agent of a large fleet serves from the known list and asks for what has changed since. Its calls come no faster than
+// its interval, whatever changes: discovery has to bear them all.
+func TestLargeFleetCallsRarely(t *testing.T) {
+	f := newFakeDiscovery(t, 41, entryText("s-1", "127.0.0.1:1", "Ready", 0))
+	f.set(42, false, entryText("s-2", "127.0.0.1:2", "Ready", 0))
+	d, events := fleet(t, f.Addr().String(), 12, listText(41, true, entryText("s-1", "127.0.0.1:1", "Ready", 0)))
+	if d.interval != 12*intervalEach {
+		t.Fatal(d.interval)
+	}
+	d.interval = 400 * time.Millisecond
+	follow(t, d)
+	if l := next(t, events); !l.full || l.members[0].ID != "s-1" {
+		t.Errorf("known: %+v", l)
+	}
+	began := time.Now()
+	const changes = 4
+	for i := range changes {
+		next(t, events)
+		f.set(43+i, false, entryText("s-2", "127.0.0.1:2", "Ready", int64(i)))
+	}
+	wholes, watches := f.calls()
+	if wholes != 0 {
+		t.Errorf("%d calls for the whole list", wholes)
+	}
+	if took := time.Since(began); took < (changes-1)*d.interval/2 || watches < changes {
+		t.Errorf("%d calls in %v", watches, took)
+	}
+}
+
+// A usual fleet goes on as before: the whole list first, and watches back to back. The longest interval keeps within the
+// time after which an agent is held to know what was listed.
+func TestIntervals(t *testing.T) {
+	for agents, want := range map[int]time.Duration{1: 0, usualFleet: 0, 20: 5 * time.Second, 48: longestInterval, 1000: longestInterval} {
+		d, _ := fleet(t, "127.0.0.1:1", agents, listText(41, true, entryText("s-1", "127.0.0.1:1", "Ready", 0)))
+		if d.interval != want || (d.version < 0) != (want == 0) {
+			t.Errorf("%d agents: every %v, from version %d", agents, d.interval, d.version)
+		}
+	}
+}
+
+// A discovery that counts anew is asked for the whole list: what has changed since a version of another count says nothing.
+func TestCountsAnew(t *testing.T) {
+	d, events := fleet(t, "127.0.0.1:1", 12, listText(41, true, entryText("s-1", "127.0.0.1:1", "Ready", 0)))
+	if err := d.take(list{Version: 7}, false); err == nil || d.version != -1 {
+		t.Errorf("%v, version %d", err, d.version)
+	}
+	if err := d.take(list{Version: 7, Full: true}, true); err != nil || !next(t, events).full {
+		t.Error(err)
+	}
+}
+
+// When discovery is back with nothing new, the module must hear of it all the same: it counts the calls that failed.
+func TestBackWithoutNews(t *testing.T) {
+	d, events := fleet(t, "127.0.0.1:1", 1, "null")
+	d.version, d.down, d.fails = 41, true, 3
+	if err := d.take(list{Version: 41}, false); err != nil || d.down || d.fails != 0 {
+		t.Error(err, d.down, d.fails)
+	}
+	if l := next(t, events); l.full || len(l.members) != 0 {
+		t.Errorf("%+v", l)
+	}
+	d.take(list{Version: 41}, false)
+	if len(events) > 0 {
+		t.Error("told twice")
+	}
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -86,7 +86,9 @@
 	}
 	c, release, err := s.accept(w, r, class)
 	if err != nil {
-		s.metrics.Answered(class, metrics.Failed)
+		if !errors.Is(err, errNotWhole) { // else there was no request to answer
+			s.metrics.Answered(class, metrics.Failed)
+		}
 		turnAway(w, err)
 		return
 	}
@@ -124,7 +126,6 @@
 			http.NewResponseController(w).SetReadDeadline(time.Now()) // for an attempt that reads from it
 			rest.close()
 			if _, err := rest.state(); err != nil { // net/http ends the context also when a body stops
-				s.metrics.Answered(class, metrics.Failed)
 				turnAway(w, brokenBody(err))
 				return
 			}
@@ -191,7 +192,6 @@
 	if rest != nil {
 		rest.close()
 		if _, err := rest.state(); err != nil { // there is no request to refuse
-			s.metrics.Answered(c.class, metrics.Failed)
 			turnAway(w, brokenBody(err))
 			return
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,8 @@
 	failWeight  = 0.3  // weight of a new sample in a server's share of failures
 	failEject   = 0.6  // ejected above it: three failures in a row, from nothing
 	mostWaits   = 4    // doublings of the wait before the list is asked again
+	usualFleet  = 8    // balancers up to which that wait is the shortest
+	mostCrowd   = 4    // times that it is longer at the most
 	healthyPart = 0.5  // ejections count while this share of the capacity is not ejected
 	retryShare  = 0.2  // further attempts as a share of first ones
 	retrySaved  = 10   // most further attempts saved up
@@ -137,9 +139,12 @@
 		return
 	}
 	b.asking = true // one timer is enough, however many calls have failed
-	wait := float64(b.horizon) * math.Exp2(float64(min(b.tries, mostWaits))) * (0.5 + b.rng.Float64()) / 2
-	if b.tries++; b.set.MustAskIn > 0 { // who does not ask for longer is held to know what was listed
-		wait = min(wait, float64(b.set.MustAskIn)/2)
+	// A large fleet waits for longer, so that discovery comes to an end with the calls it has.
+	crowd := min(mostCrowd, max(1, float64(b.set.Balancers)/usualFleet))
+	wait := crowd * float64(b.horizon) * math.Exp2(float64(min(b.tries, mostWaits)))
+	wait *= (0.5 + b.rng.Float64()) / 2
+	if b.tries++; b.set.MustAskIn > 0 { // who asks in vain has four times this to ask again
+		wait = min(wait, crowd*float64(b.set.MustAskIn)/2)
 	}
 	b.timer(subscribeToken, time.Duration(wait))
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -255,6 +255,29 @@
 	}
 }
 
+// In a large fleet each waits for longer before it asks again, and all of them at different times.
+func TestLargeFleetAsksRarely(t *testing.T) {
+	set := testSettings()
+	set.Subscribe, set.MustAskIn = true, 10*time.Second
+	mean := func(balancers int) (wait time.Duration) {
+		set.Balancers = balancers
+		b, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(time.Hour)
+		for range 50 {
+			wait += b.Handle(time.Hour, ListUnavailable{})[0].After / 50
+			b.Handle(time.Hour, TimerFired{subscribeToken})
+		}
+		return wait
+	}
+	few, usual, many := mean(2), mean(usualFleet), mean(4*usualFleet)
+	if few != usual || many < 2*usual || many > 4*set.MustAskIn {
+		t.Errorf("%v, %v and %v", few, usual, many)
+	}
+}
+
 // What is avoided is a server that drains and one that is kept out as ill; most can't be ill.
 func TestUnavailable(t *testing.T) {
 	h := newBench(t, testSettings(), 1, 1, 1, 1)
