Let watches of large fleets go on at once: a pause broke the rule on drains

Ruled out: a send after the list had been delivered (the agent got its list 1.2 s after the others).

--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -30,13 +30,13 @@
 )
 
 // All agents share one discovery, which serves their calls in turn and turns them away when too many wait. In a large
-// fleet each agent therefore calls once in an interval at the most, which grows with the fleet: what changes in between
-// comes with the next call. One that was given up while it waited in the queue would have been waited for in vain.
+// fleet watches therefore wait for longer, and first calls are spread over that time. A watch goes on at once all the
+// same: what changes just after it counts as told. A call given up while it waits in the queue was waited for in vain.
 const (
-	usualFleet      = 8 // agents up to which a watch goes on at once
-	intervalEach    = 250 * time.Millisecond
-	longestInterval = 9 * time.Second // who does not ask for 10 s is held to know what was listed
-	queueTimeout    = 4 * time.Second // in place of callTimeout
+	usualFleet   = 8 // agents up to which none of this is needed
+	watchEach    = 250 * time.Millisecond
+	longestWatch = 9 * time.Second
+	queueTimeout = 2200 * time.Millisecond // in place of callTimeout
 )
 
 // list is a list of backends or a change of it, in discovery's form.
@@ -86,20 +86,22 @@
 	drop context.CancelFunc // ends the calls to the present address
 
 	// Those of the goroutine that runs:
-	rng      *rand.Rand
-	timeout  time.Duration // for an answer, past the wait of a watch
-	interval time.Duration // between calls, in the mean; 0 in a usual fleet
-	fails    int           // calls that failed in a row
-	at       string        // the address that is followed
-	version  int64
-	have     map[string]member
-	badOnce  bool
-	down     bool
+	rng     *rand.Rand
+	timeout time.Duration // for an answer, past the wait of a watch
+	wait    time.Duration // of a watch
+	spread  time.Duration // the first call comes within this, where a list is known
+	fails   int           // calls that failed in a row
+	at      string        // the address that is followed
+	version int64
+	have    map[string]member
+	badOnce bool
+	down    bool
 }
 
 func newDiscovery(cfg Config, c clock, deliver func(event), log *slog.Logger) *discovery {
 	d := &discovery{
 		timeout:   callTimeout,
+		wait:      watchWait,
 		addr:      cfg.Discovery,
 		drop:      func() {},
 		at:        cfg.Discovery,
@@ -116,7 +118,8 @@
 		version:   -1,
 	}
 	if agents := cfg.Site.Logic.Balancers; agents > usualFleet {
-		d.timeout, d.interval = queueTimeout, min(longestInterval, time.Duration(agents)*intervalEach)
+		d.wait = min(longestWatch, time.Duration(agents)*watchEach)
+		d.timeout, d.spread = queueTimeout, d.wait
 		if len(d.known.Servers) > 0 { // changes are all that is asked for
 			d.version = d.known.Version
 		}
@@ -154,7 +157,7 @@
 		}
 	}
 	d.restore()
-	d.pause(ctx, d.interval/2)
+	d.pause(ctx, d.spread)
 }
 
 // pause waits for up to so long, at random: agents that were cut off together must not come back together.
@@ -233,7 +236,7 @@
 	}
 	for {
 		before, began := d.version, time.Now()
-		wait := max(watchWait, d.interval)
+		wait := d.wait
 		if d.down { // whether it is back shows soon
 			wait = watchWait
 		}
@@ -245,7 +248,6 @@
 		if d.version == before && time.Since(began) < watchWait/2 {
 			sleep(ctx, earlyPause)
 		}
-		sleep(ctx, time.Duration((0.75+d.rng.Float64()/2)*float64(d.interval))-time.Since(began))
 	}
 }
 
