--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,6 +37,7 @@
 	copyAfter   = 2.5  // times the usual time to an answer, after which a second copy may go out
 	copyTo      = 0.65 // reported use of the servers up to which it may
 	shedFrom    = 0.4  // mean time taken over aim from which work of mean worth is refused
+	youngTimes  = 3    // mean age of what is in flight that the time to an answer is held to be at the most
 	shedSlope   = 6    // rise of the share refused with that mean
 	busyFrom    = 0.75 // reported use from which late answers are taken for a sign of a jam
 	busyFull    = 0.95 // and from which they are one for certain
@@ -599,7 +600,7 @@
 // sends fall with each refusal the same few in flight would seem an ever worse jam.
 func (b *Balancer) setShed() {
 	b.weigh() // who is ejected has just changed
-	var wait, busy, known, out float64
+	var wait, age, busy, known, out float64
 	for _, s := range b.servers {
 		if b.ejected(s) {
 			continue
@@ -610,6 +611,7 @@
 		for _, a := range s.inFlight {
 			if a.owed > 0 && b.now-a.owed <= a.req.class.Aim { // one out for longer hangs, or late answers tell of it
 				wait, out = wait+1/a.req.class.Aim.Seconds(), out+1
+				age += float64(b.now-a.owed) / float64(a.req.class.Aim)
 			}
 		}
 	}
@@ -621,6 +623,8 @@
 		b.asked[i] *= keep
 	}
 	little := wait * b.span / (b.sent + 1) * (1 - 1/math.Sqrt(max(out, 1)))
+	// The rate lags behind traffic that rises, but then all in flight is young.
+	little = min(little, youngTimes*age/max(out, 1))
 	if known == 0 {
 		busy, known = 1, 1
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -255,6 +255,26 @@
 	}
 }
 
+// Traffic that rises at once, as when a caller returns from a drain, is no jam: what is in flight is many for the rate
+// so far, but young. The same many are one when they have been out for long.
+func TestRisingTrafficIsNoJam(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	for range 100 { // little traffic, answered at once
+		id, to := h.ask(0)
+		h.end(id, to, 0, OK, NoReport)
+		h.tick(h.horizon)
+	}
+	for range 30 {
+		h.ask(0)
+	}
+	if h.tick(1); h.shed > 0 {
+		t.Errorf("refuses by %v what has just begun to come", h.shed)
+	}
+	if h.tick(h.horizon / 2); h.shed == 0 {
+		t.Error("refuses nothing when none is answered")
+	}
+}
+
 // In a large fleet each waits for longer before it asks again, and all of them at different times.
 func TestLargeFleetAsksRarely(t *testing.T) {
 	set := testSettings()
