--- a/logic/logic.go
+++ b/logic/logic.go
@@ -623,10 +623,10 @@
 		b.asked[i] *= keep
 	}
 	little := wait * b.span / (b.sent + 1) * (1 - 1/math.Sqrt(max(out, 1)))
-	// The rate lags behind traffic that rises, but then all in flight is young.
-	little = min(little, youngTimes*age/max(out, 1))
 	if known == 0 {
 		busy, known = 1, 1
+		// The rate lags behind traffic that rises, which no report tells from a jam: but then all is young.
+		little = min(little, youngTimes*age/max(out, 1))
 	}
 	busy /= known
 	b.busy = busy
