--- a/cmd/appleledge/main.go
+++ b/cmd/ryeweir/agent.go
@@ -1,10 +1,9 @@
-// Command appleledge is the client-side load balancer agent that runs beside each calling application.
 package main
 
 import (
 	"context"
 	"fmt"
-	"log/slog"
+	"io"
 	"math"
 	"net"
 	"os"
@@ -13,23 +12,35 @@
 	"runtime/debug"
 	"syscall"
 
-	"appleledge/internal/agent"
-	"appleledge/internal/handover"
+	"github.com/spf13/cobra"
+
+	"ryeweir/internal/agent"
+	"ryeweir/internal/handover"
 )
 
 // heapPart is how much of the memory limit the runtime may fill; sockets and files count too.
 const heapPart = 0.6
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "appleledge:", err)
-		os.Exit(1)
+func agentCommand(log *logging) *cobra.Command {
+	return &cobra.Command{
+		Use:   "agent",
+		Short: "Run the agent; the platform's environment says the rest",
+		Long: "Runs one agent in the foreground. PROXY_CONFIG names its configuration; PROXY_NAME, PROXY_LISTEN,\n" +
+			"PROXY_DISCOVERY and PROXY_CONTROL go before what stands there, and PROXY_ACCEPT_FD names an inherited\n" +
+			"socket for clients. SIGHUP reads the configuration again; SIGTERM drains and ends.",
+		Example: "  PROXY_CONFIG=/run/balancer/config.json ryeweir agent --log-format json",
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return runAgent(c.Context(), log, c.ErrOrStderr()) },
 	}
 }
 
-func run() error {
+func runAgent(ctx context.Context, flags *logging, errs io.Writer) error {
 	hangups := make(chan os.Signal, 1) // one that waits is enough: the file is read after it
 	signal.Notify(hangups, syscall.SIGHUP)
+	log, err := flags.logger(errs)
+	if err != nil {
+		return err
+	}
 	cfg, err := agent.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -40,9 +51,9 @@
 		memory /= 2 // for a while two processes share the limit
 	}
 	debug.SetMemoryLimit(int64(memory))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("agent", cfg.Name)
+	log = log.With("agent", cfg.Name)
 	reloads := agent.Reloads{Signals: hangups, Load: func() (agent.Config, error) { return agent.ReloadConfig(os.Getenv) }}
 	var sockets agent.Sockets
 	if sockets.Clients, sockets.Inherited, err = handover.Listen(os.Getenv, cfg.Listen); err != nil {
--- /dev/null
+++ b/cmd/ryeweir/check.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"path/filepath"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"ryeweir/internal/agent"
+	"ryeweir/internal/config"
+)
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Read a configuration and say what is wrong with it, or what it means",
+		Long: "Reads the platform's JSON (FILE ends in .json) or one of this program's TOML files. What is wrong is printed\n" +
+			"with file, line and key, and the exit code is 1.",
+		Example: "  ryeweir check /run/balancer/config.json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := check(c.OutOrStdout(), args[0]); err != nil {
+				fmt.Fprintln(c.OutOrStdout(), err)
+				return errSaid
+			}
+			return nil
+		},
+	}
+}
+
+// check prints what a file means, or returns what is wrong with it.
+func check(out io.Writer, file string) error {
+	data, err := config.Read(file)
+	if err != nil {
+		return err
+	}
+	if strings.HasSuffix(file, ".json") {
+		cfg, err := agent.CheckConfig(file, data)
+		if err != nil {
+			return err
+		}
+		cfg.Describe(out)
+		return nil
+	}
+	if filepath.Base(file) == "balancer.toml" {
+		var d deployment
+		if err := config.TOML(file, data, &d); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "deployment: build %q, run %q, sim %q, %d policy files, %d places of the real agent\n", d.Build, d.Run, d.Sim,
+			len(d.Policy), len(d.Node))
+		return nil
+	}
+	return &config.Error{File: file, Err: errors.New("is neither the platform's JSON nor a TOML file of this program")}
+}
+
+// deployment is the platform's deploy/balancer.toml.
+type deployment struct {
+	Build    string   `toml:"build"`
+	Run      string   `toml:"run"`
+	Sim      string   `toml:"sim"`
+	Policy   []string `toml:"policy"`
+	Node     []string `toml:"node"`
+	Packages []string `toml:"packages"`
+}
+
+// Check says what is missing.
+func (d *deployment) Check() error {
+	var all []error
+	for key, value := range map[string]string{"build": d.Build, "run": d.Run, "sim": d.Sim} {
+		if value == "" {
+			all = append(all, config.Wrong(key, "is missing"))
+		}
+	}
+	for key, value := range map[string][]string{"policy": d.Policy, "node": d.Node} {
+		if len(value) == 0 {
+			all = append(all, config.Wrong(key, "names nothing"))
+		}
+	}
+	return errors.Join(all...)
+}
--- /dev/null
+++ b/cmd/ryeweir/main.go
@@ -0,0 +1,103 @@
+// Command ryeweir is a client-side load balancer agent, and the tools to see it at work.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"strings"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes: 0 yes, 1 the answer is no, 2 wrong use.
+const (
+	exitNo    = 1
+	exitUsage = 2
+)
+
+func main() { os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run is the program: it returns the exit code.
+func run(ctx context.Context, args []string, out, errs io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	if !errors.Is(err, errSaid) {
+		fmt.Fprintln(errs, "ryeweir:", err)
+	}
+	if errors.Is(err, errUsage) {
+		return exitUsage
+	}
+	return exitNo
+}
+
+var (
+	errUsage = errors.New("wrong use")
+	// errSaid is a no that has been said in full on the output.
+	errSaid = errors.New("the answer is no")
+)
+
+// usage marks an error as wrong use.
+func usage(err error) error { return fmt.Errorf("%w (%w; see --help)", err, errUsage) }
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "ryeweir",
+		Short: "A load balancer agent beside each calling application, and a world to try it in",
+		Long: "ryeweir runs beside each copy of a calling application and sends its requests to the backend that will\n" +
+			"answer soonest, by the rules of its deployment. See it at work with: ryeweir demo",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
+	var log logging
+	root.PersistentFlags().StringVar(&log.format, "log-format", "text", "form of the log on standard error: text or json")
+	root.PersistentFlags().StringVar(&log.level, "log-level", "info", "least level that is logged: debug, info, warn or error")
+	root.AddCommand(agentCommand(&log), versionCommand(), checkCommand())
+	for _, c := range root.Commands() {
+		if args := c.Args; args != nil {
+			c.Args = func(c *cobra.Command, given []string) error {
+				if err := args(c, given); err != nil {
+					return usage(err)
+				}
+				return nil
+			}
+		}
+	}
+	root.Args = cobra.ArbitraryArgs
+	root.RunE = func(c *cobra.Command, args []string) error {
+		if len(args) > 0 {
+			return usage(fmt.Errorf("no command %q", args[0]))
+		}
+		return c.Help()
+	}
+	return root
+}
+
+// logging is what the flags say of the log.
+type logging struct{ format, level string }
+
+// logger returns the log on w.
+func (l *logging) logger(w io.Writer) (*slog.Logger, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(l.level)); err != nil || strings.ContainsAny(l.level, "+-") {
+		return nil, usage(fmt.Errorf("--log-level %q is none of debug, info, warn and error", l.level))
+	}
+	opts := &slog.HandlerOptions{Level: level}
+	switch l.format {
+	case "text":
+		return slog.New(slog.NewTextHandler(w, opts)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(w, opts)), nil
+	}
+	return nil, usage(fmt.Errorf("--log-format %q is neither text nor json", l.format))
+}
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"appleledge/internal/wire"
-	"appleledge/logic"
+	"ryeweir/internal/wire"
+	"ryeweir/logic"
 )
 
 func main() {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,12 +10,12 @@
 	"sync"
 	"time"
 
-	"appleledge/internal/connlimit"
-	"appleledge/internal/control"
-	"appleledge/internal/flow"
-	"appleledge/internal/framing"
-	"appleledge/internal/metrics"
-	"appleledge/logic"
+	"ryeweir/internal/connlimit"
+	"ryeweir/internal/control"
+	"ryeweir/internal/flow"
+	"ryeweir/internal/framing"
+	"ryeweir/internal/metrics"
+	"ryeweir/logic"
 )
 
 const (
@@ -42,8 +42,13 @@
 	Clients   net.Listener
 	Inherited bool         // another process may accept what this one does not
 	Control   net.Listener // for operators; nil without an address for them
+	Dial      Dial         // to backends and discovery; nil for the machine's network
 }
 
+// Dial opens a connection, as net.Dialer's DialContext does. A connection of a network that is not the machine's says by a
+// method Quiet whether it is open with nothing to read, since there is no socket to ask.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Run serves until the context ends, then drains as the platform's restarts want it. It closes the sockets.
 func Run(ctx context.Context, cfg Config, reloads Reloads, sockets Sockets, log *slog.Logger) error {
 	defer sockets.Clients.Close()
@@ -59,7 +64,7 @@
 
 	share := shareSockets(cfg.Sockets, sockets)
 	clk := newClock()
-	conns := newPool(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, share.toBackends)
+	conns := newPool(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, share.toBackends, sockets.Dial)
 	var badReport sync.Once
 	var classes []string
 	for _, c := range cfg.Site.Logic.Classes {
@@ -75,7 +80,7 @@
 		noted: func(err error) {
 			badReport.Do(func() { log.Warn("passing over a malformed report; further ones are not logged", "error", err) })
 		}}, figures, log)
-	disco := newDiscovery(cfg, clk, loop.tell, log)
+	disco := newDiscovery(cfg, clk, sockets.Dial, loop.tell, log)
 	loop.subscribe = disco.ask
 	s := newServer(cfg, loop, clk, share.fromClients, figures, log)
 	s.budget = budget
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"appleledge/internal/metrics"
+	"ryeweir/internal/metrics"
 )
 
 func TestServes(t *testing.T) {
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -16,9 +16,9 @@
 	"sync/atomic"
 	"time"
 
-	"appleledge/internal/flow"
-	"appleledge/internal/wire"
-	"appleledge/logic"
+	"ryeweir/internal/flow"
+	"ryeweir/internal/wire"
+	"ryeweir/logic"
 )
 
 const (
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -9,12 +9,11 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
-	"appleledge/internal/flow"
-	"appleledge/logic"
+	"ryeweir/internal/flow"
+	"ryeweir/logic"
 )
 
 // fixture is a sender with one backend.
@@ -25,7 +24,7 @@
 
 func newFixture(t *testing.T, addr string, most int) *fixture {
 	f := &fixture{}
-	p := newPool(2*time.Second, time.Minute, most)
+	p := newPool(2*time.Second, time.Minute, most, nil)
 	t.Cleanup(p.close)
 	f.sender = &sender{pool: p, clock: newClock(), sent: func() {}, budget: flow.NewBudget(1 << 20), fields: []string{"util", "qps", "eps"},
 		noted: func(err error) { f.reports = append(f.reports, err) }}
@@ -368,17 +367,17 @@
 // holdDials makes dials to that address wait for the channel to close, as a machine that says nothing does.
 func (f *fixture) holdDials(addr string, until chan struct{}) (began chan struct{}) {
 	began = make(chan struct{}, 1)
-	f.pool.dialer.ControlContext = func(ctx context.Context, _, to string, _ syscall.RawConn) error {
-		if to != addr {
-			return nil
-		}
-		began <- struct{}{}
-		select {
-		case <-until:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
+	dial := f.pool.dial
+	f.pool.dial = func(ctx context.Context, network, to string) (net.Conn, error) {
+		if to == addr {
+			began <- struct{}{}
+			select {
+			case <-until:
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
 		}
+		return dial(ctx, network, to)
 	}
 	return began
 }
@@ -387,7 +386,7 @@
 func TestDeadDial(t *testing.T) {
 	dead, fine := newBackend(t, says(servedText)), newBackend(t, says(servedText))
 	f := newFixture(t, dead.Addr().String(), 100)
-	f.pool.dialer.Timeout = time.Second
+	f.pool.connectIn = time.Second
 	began := f.holdDials(dead.Addr().String(), nil)
 	first := f.attempt(patience)
 	f.pool.update(false, []member{{Server: logic.Server{ID: "other"}, addr: fine.Addr().String()}})
@@ -409,7 +408,7 @@
 	b := newBackend(t, says(servedText))
 	addr := b.Addr().String()
 	f := newFixture(t, addr, 100)
-	f.pool.dialer.Timeout = patience
+	f.pool.connectIn = patience
 	up := make(chan struct{})
 	began := f.holdDials(addr, up)
 	a := f.attempt(patience)
--- a/internal/agent/body.go
+++ b/internal/agent/body.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"appleledge/internal/flow"
+	"ryeweir/internal/flow"
 )
 
 const (
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -1,15 +1,20 @@
 package agent
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
-	"appleledge/internal/wire"
+	"ryeweir/internal/config"
+	"ryeweir/internal/wire"
+	"ryeweir/logic"
 )
 
 // Config is what the platform tells an agent.
@@ -30,14 +35,18 @@
 
 // configFile is the form of the file that PROXY_CONFIG names.
 type configFile struct {
-	Name, Listen, Discovery, Control, Seed string
-	Limits                                 struct {
-		Cores    float64
-		MemoryMB int `json:"memory_mb"`
-		Sockets  int
-	}
-	Known    json.RawMessage
-	Settings json.RawMessage
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Control   string `json:"control"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
 }
 
 // Limits that hold where the configuration states none.
@@ -136,3 +145,37 @@
 	site.Logic.MaxRetryAfter = site.MaxRetryAfter
 	return site, nil
 }
+
+// CheckConfig checks the text of a configuration file as the agent would read it without an environment. Errors name file,
+// line and key as far as they have them.
+func CheckConfig(file string, data []byte) (Config, error) {
+	var f configFile
+	if err := config.JSON(file, data, &f); err != nil {
+		return Config{}, err
+	}
+	cfg, err := parseConfig(data, func(string) string { return "" })
+	if err != nil {
+		key, rest, ok := strings.Cut(err.Error(), ": ")
+		at := bytes.Index(data, []byte(`"`+key+`"`))
+		if !ok || at < 0 {
+			return cfg, &config.Error{File: file, Err: err}
+		}
+		return cfg, &config.Error{File: file, Line: 1 + bytes.Count(data[:at], []byte("\n")), Key: key, Err: errors.New(rest)}
+	}
+	return cfg, nil
+}
+
+// Describe prints in words what a configuration means.
+func (cfg Config) Describe(w io.Writer) {
+	control := cfg.Control
+	if control == "" {
+		control = "nowhere"
+	}
+	fmt.Fprintf(w, "agent %s: clients at %s, operators at %s, discovery at %s\n", cfg.Name, cfg.Listen, control, cfg.Discovery)
+	fmt.Fprintf(w, "limits: %g cores, %d MB, %d descriptors\n", cfg.Cores, cfg.MemoryMB, cfg.Sockets)
+	fmt.Fprintf(w, "fleet: agent %d of %d; %d backends known from before\n", cfg.Site.Logic.Me, cfg.Site.Logic.Balancers, len(cfg.known.Servers))
+	effects := map[logic.Effect]string{logic.Safe: "safe to repeat", logic.Keyed: "carries a key", logic.Unsafe: "must never run twice"}
+	for _, c := range cfg.Site.Logic.Classes {
+		fmt.Fprintf(w, "class %s: %s, wanted within %v, deadline %v, worth %g\n", c.Name, effects[c.Effect], c.Aim, c.Deadline, c.Worth)
+	}
+}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"appleledge/logic"
+	"ryeweir/logic"
 )
 
 // Times of the calls to discovery. A change counts as told 2 s after the wait of a watch is over, so silence
@@ -98,14 +98,17 @@
 	down    bool
 }
 
-func newDiscovery(cfg Config, c clock, deliver func(event), log *slog.Logger) *discovery {
+func newDiscovery(cfg Config, c clock, dial Dial, deliver func(event), log *slog.Logger) *discovery {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: callTimeout}).DialContext
+	}
 	d := &discovery{
 		timeout:   callTimeout,
 		wait:      watchWait,
 		addr:      cfg.Discovery,
 		drop:      func() {},
 		at:        cfg.Discovery,
-		client:    &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext}},
+		client:    &http.Client{Transport: &http.Transport{DialContext: dial}},
 		clock:     c,
 		rng:       rand.New(rand.NewPCG(cfg.Seed, 1)),
 		zones:     cfg.Site.Zones,
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"appleledge/logic"
+	"ryeweir/logic"
 )
 
 // follower is a discovery client whose events a test reads.
@@ -19,7 +19,7 @@
 		t.Fatal(err)
 	}
 	events := make(chan event, 100)
-	return newDiscovery(cfg, newClock(), func(ev event) { events <- ev }, slog.New(slog.NewTextHandler(log, nil))), events
+	return newDiscovery(cfg, newClock(), nil, func(ev event) { events <- ev }, slog.New(slog.NewTextHandler(log, nil))), events
 }
 
 // follow runs it until the test ends.
@@ -213,7 +213,7 @@
 	}
 	cfg.Site.Logic.Balancers = agents
 	events := make(chan event, 100)
-	d := newDiscovery(cfg, newClock(), func(ev event) { events <- ev }, slog.New(slog.DiscardHandler))
+	d := newDiscovery(cfg, newClock(), nil, func(ev event) { events <- ev }, slog.New(slog.DiscardHandler))
 	d.asked = true // so that the known list comes first
 	d.ask()
 	return d, events
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"appleledge/internal/wire"
+	"ryeweir/internal/wire"
 )
 
 // patience is how long a test waits for what must come; machines are noisy.
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"appleledge/internal/flow"
-	"appleledge/internal/metrics"
-	"appleledge/logic"
+	"ryeweir/internal/flow"
+	"ryeweir/internal/metrics"
+	"ryeweir/logic"
 )
 
 // call is a client's request: what the decisions need, the message itself, and the place for its one answer.
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"appleledge/logic"
+	"ryeweir/logic"
 )
 
 // Backends drop a keyed request's repeats for its window only, counted from the first attempt that may have run:
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -12,14 +12,15 @@
 	"syscall"
 	"time"
 
-	"appleledge/logic"
+	"ryeweir/logic"
 )
 
 // pool holds the connections to backends. Each carries one request at a time, and all that happens to it is
 // done here and in the attempt that holds it: http.Transport would send a request again by itself when a kept
 // connection turns out dead, which counts as an attempt that nobody decided on.
 type pool struct {
-	dialer     net.Dialer
+	dial       Dial
+	connectIn  time.Duration // a connection that is not up by then has failed
 	idleFor    time.Duration // connections idle for longer are not used again
 	most       int           // connections of all backends
 	perBackend int           // of one, so that a silent one does not use up all
@@ -82,9 +83,13 @@
 // crosses the backend's close is lost with it.
 const nearIdle = 0.8
 
-func newPool(connectTimeout, idle time.Duration, most int) *pool {
+func newPool(connectTimeout, idle time.Duration, most int, dial Dial) *pool {
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
 	return &pool{
-		dialer:     net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
+		dial:       dial,
+		connectIn:  connectTimeout,
 		idleFor:    time.Duration(float64(idle) * nearIdle),
 		most:       most,
 		perBackend: max(1, most/4),
@@ -174,7 +179,9 @@
 	if c != nil || err != nil {
 		return c, err
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", b.addr)
+	limited, cancel := context.WithTimeout(ctx, p.connectIn)
+	defer cancel()
+	raw, err := p.dial(limited, "tcp", b.addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
@@ -279,6 +286,9 @@
 // quiet reports whether an idle connection is open and nothing has come on it. A backend that died or closed
 // it shows here, before a request is risked on it.
 func (c *conn) quiet() bool {
+	if q, ok := c.Conn.(interface{ Quiet() bool }); ok {
+		return q.Quiet()
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"appleledge/internal/framing"
-	"appleledge/logic"
+	"ryeweir/internal/framing"
+	"ryeweir/logic"
 )
 
 // The headers of a request that the agent reads.
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -11,11 +11,11 @@
 	"sync/atomic"
 	"time"
 
-	"appleledge/internal/connlimit"
-	"appleledge/internal/flow"
-	"appleledge/internal/framing"
-	"appleledge/internal/metrics"
-	"appleledge/internal/wire"
+	"ryeweir/internal/connlimit"
+	"ryeweir/internal/flow"
+	"ryeweir/internal/framing"
+	"ryeweir/internal/metrics"
+	"ryeweir/internal/wire"
 )
 
 const (
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -12,7 +12,7 @@
 	"net/http"
 	"time"
 
-	"appleledge/internal/connlimit"
+	"ryeweir/internal/connlimit"
 )
 
 // Sockets is how many descriptors the server may hold: its listener and its connections.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -12,7 +12,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"appleledge/logic"
+	"ryeweir/logic"
 )
 
 // Kind says what a Message is.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"strconv"
 
-	"appleledge/logic"
+	"ryeweir/logic"
 )
 
 // AppendAction appends the line of an instance's action.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"appleledge/logic"
+	"ryeweir/logic"
 )
 
 // Site is what the settings of an instance tell of its deployment, to the module and to the agent round it.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"appleledge/logic"
+	"ryeweir/logic"
 )
 
 const boot = `{"Balancers":3,"Classes":[{"AimNs":600000000,"DeadlineNs":1200000000,"Effect":"repeatable","Group":"all",` +
--- /dev/null
+++ b/internal/world/link/conditions.go
@@ -0,0 +1,90 @@
+// Package link is a network with faults: one in memory, which works inside testing/synctest, and a relay on loopback
+// sockets. Both shape what passes in the same way: delay, jitter, bandwidth, loss, cuts that say nothing, resets, and each
+// of them in one direction only.
+package link
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Conditions are what one direction of a path does to what passes. The zero value does nothing to it.
+type Conditions struct {
+	Delay     time.Duration
+	Jitter    time.Duration // up to this much more, evenly drawn; a stream stays in order
+	Bandwidth float64       // bytes a second; 0 for no limit
+	Loss      float64       // share of packets lost: a stream stalls and sends again, a datagram is gone
+	Resend    time.Duration // the first stall after a loss, doubled with each loss of the same packet; 0 for 200 ms
+	Cut       bool          // nothing passes and nobody is told; what waits passes when the cut is over
+}
+
+// Check says what is wrong with conditions.
+func (c Conditions) Check() error {
+	if c.Delay < 0 || c.Jitter < 0 || c.Bandwidth < 0 || c.Resend < 0 {
+		return fmt.Errorf("delay, jitter, bandwidth and resend must not be below 0: %+v", c)
+	}
+	if c.Loss < 0 || c.Loss >= 1 {
+		return fmt.Errorf("loss must be from 0 to below 1, not %v", c.Loss)
+	}
+	return nil
+}
+
+const (
+	packet        = 1460 // bytes of a stream in a packet
+	defaultResend = 200 * time.Millisecond
+	mostDoublings = 6
+)
+
+// shaper says when what is written to one direction of a path arrives. Its owner guards it.
+type shaper struct {
+	rng  *rand.Rand
+	free time.Time // when the line has sent what it was given
+	last time.Time // when the latest arrives: a stream is in order
+}
+
+// stream is when n bytes of a stream arrive that are written now.
+func (s *shaper) stream(now time.Time, n int, c Conditions) time.Time {
+	at := s.sent(now, n, c).Add(c.Delay + s.jitter(c))
+	for range (n + packet - 1) / packet {
+		stall := c.Resend
+		if stall == 0 {
+			stall = defaultResend
+		}
+		for range mostDoublings {
+			if c.Loss == 0 || s.rng.Float64() >= c.Loss {
+				break
+			}
+			at, stall = at.Add(stall), 2*stall
+		}
+	}
+	if at.Before(s.last) {
+		at = s.last
+	}
+	s.last = at
+	return at
+}
+
+// datagram is when a datagram arrives that is written now; false when it never does.
+func (s *shaper) datagram(now time.Time, n int, c Conditions) (time.Time, bool) {
+	at := s.sent(now, n, c).Add(c.Delay + s.jitter(c))
+	return at, !c.Cut && (c.Loss == 0 || s.rng.Float64() >= c.Loss)
+}
+
+// sent is when the line has sent n more bytes.
+func (s *shaper) sent(now time.Time, n int, c Conditions) time.Time {
+	if s.free.Before(now) {
+		s.free = now
+	}
+	if c.Bandwidth > 0 {
+		s.free = s.free.Add(time.Duration(float64(n) / c.Bandwidth * float64(time.Second)))
+	}
+	return s.free
+}
+
+func (s *shaper) jitter(c Conditions) time.Duration {
+	if c.Jitter == 0 {
+		return 0
+	}
+	return time.Duration(s.rng.Float64() * float64(c.Jitter))
+}
--- /dev/null
+++ b/internal/world/link/relay.go
@@ -0,0 +1,308 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Relay passes streams on between loopback sockets, under conditions that can change while they are open.
+type Relay struct {
+	listener net.Listener
+	target   string
+	all      sync.WaitGroup
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	forth Conditions
+	back  Conditions
+	open  map[*relayed]struct{}
+	done  bool
+}
+
+// relayed is one stream that is passed on.
+type relayed struct {
+	client, server *net.TCPConn
+	forth, back    *pipe
+}
+
+const dialTimeout = 5 * time.Second
+
+// NewRelay passes on what connects to l to the target. Close ends it, and closes l.
+func NewRelay(l net.Listener, target string, seed uint64) *Relay {
+	r := &Relay{listener: l, target: target, rng: rand.New(rand.NewPCG(seed, 4)), open: map[*relayed]struct{}{}}
+	r.all.Go(r.accept)
+	return r
+}
+
+// Addr is where it listens.
+func (r *Relay) Addr() net.Addr { return r.listener.Addr() }
+
+// Set changes the conditions towards the target and back.
+func (r *Relay) Set(forth, back Conditions) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forth, r.back = forth, back
+	for s := range r.open {
+		s.forth.set(forth)
+		s.back.set(back)
+	}
+}
+
+// Reset breaks all streams that are open.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for s := range r.open {
+		s.reset()
+	}
+}
+
+// Open is how many streams are open.
+func (r *Relay) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.open)
+}
+
+// Close ends the relay with all its streams and waits for them.
+func (r *Relay) Close() error {
+	err := r.listener.Close()
+	r.mu.Lock()
+	r.done = true
+	for s := range r.open {
+		s.reset()
+	}
+	r.mu.Unlock()
+	r.all.Wait()
+	return err
+}
+
+func (r *Relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors, say: go on when there are some again
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		r.all.Go(func() { r.pass(c.(*net.TCPConn)) })
+	}
+}
+
+func (r *Relay) pass(client *net.TCPConn) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	raw, err := new(net.Dialer).DialContext(ctx, "tcp", r.target)
+	if err != nil {
+		client.SetLinger(0)
+		client.Close()
+		return
+	}
+	r.mu.Lock()
+	s := &relayed{client: client, server: raw.(*net.TCPConn),
+		forth: newPipe(rand.New(rand.NewPCG(r.rng.Uint64(), 1)), r.forth),
+		back:  newPipe(rand.New(rand.NewPCG(r.rng.Uint64(), 2)), r.back)}
+	r.open[s] = struct{}{}
+	if r.done {
+		s.reset()
+	}
+	r.mu.Unlock()
+	var ways sync.WaitGroup
+	ways.Go(func() { s.fill(s.forth, s.client) })
+	ways.Go(func() { s.fill(s.back, s.server) })
+	ways.Go(func() { s.drain(s.server, s.forth) })
+	ways.Go(func() { s.drain(s.client, s.back) })
+	ways.Wait()
+	r.mu.Lock()
+	delete(r.open, s)
+	r.mu.Unlock()
+	s.client.Close()
+	s.server.Close()
+}
+
+// pipeWriter and pipeReader are the ends of a pipe for io.Copy.
+type (
+	pipeWriter struct{ *pipe }
+	pipeReader struct{ *pipe }
+)
+
+func (p pipeWriter) Write(b []byte) (int, error) { return p.write(b) }
+func (p pipeReader) Read(b []byte) (int, error)  { return p.read(b) }
+
+// fill takes in what a socket sends, up to its end.
+func (s *relayed) fill(p *pipe, from *net.TCPConn) {
+	if _, err := io.Copy(pipeWriter{p}, from); err != nil {
+		s.reset()
+		return
+	}
+	p.finish()
+}
+
+// drain gives a socket what comes through.
+func (s *relayed) drain(to *net.TCPConn, p *pipe) {
+	if _, err := io.Copy(to, pipeReader{p}); err != nil {
+		s.reset()
+		return
+	}
+	to.CloseWrite()
+}
+
+// reset breaks both sides.
+func (s *relayed) reset() {
+	for _, c := range []*net.TCPConn{s.client, s.server} {
+		c.SetLinger(0)
+		c.Close()
+	}
+	for _, p := range []*pipe{s.forth, s.back} {
+		p.abandon()
+		p.fail(net.ErrClosed)
+	}
+}
+
+// DatagramRelay passes datagrams on between loopback sockets. Each sender has a socket of its own towards the target, so
+// that answers find their way back.
+type DatagramRelay struct {
+	front  net.PacketConn
+	target net.Addr
+	most   int
+	all    sync.WaitGroup
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	forth  Conditions
+	back   Conditions
+	flows  map[string]*flow
+	lost   int
+	timers sync.WaitGroup
+	done   bool
+}
+
+type flow struct {
+	socket      net.PacketConn
+	forth, back shaper
+}
+
+// NewDatagramRelay passes on what comes to front to the target, for at most so many senders. Close ends it.
+func NewDatagramRelay(front net.PacketConn, target string, most int, seed uint64) (*DatagramRelay, error) {
+	to, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		return nil, fmt.Errorf("relay of datagrams: %w", err)
+	}
+	r := &DatagramRelay{front: front, target: to, most: most, rng: rand.New(rand.NewPCG(seed, 5)), flows: map[string]*flow{}}
+	r.all.Go(r.receive)
+	return r, nil
+}
+
+// Addr is where it receives.
+func (r *DatagramRelay) Addr() net.Addr { return r.front.LocalAddr() }
+
+// Set changes the conditions towards the target and back.
+func (r *DatagramRelay) Set(forth, back Conditions) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forth, r.back = forth, back
+}
+
+// Lost is how many datagrams the conditions dropped, or found no room for their sender.
+func (r *DatagramRelay) Lost() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost
+}
+
+// Close ends the relay and waits for all it does.
+func (r *DatagramRelay) Close() error {
+	r.mu.Lock()
+	r.done = true
+	for _, f := range r.flows {
+		f.socket.Close()
+	}
+	r.mu.Unlock()
+	err := r.front.Close()
+	r.all.Wait()
+	r.timers.Wait()
+	return err
+}
+
+const largestDatagram = 64 << 10
+
+func (r *DatagramRelay) receive() {
+	buf := make([]byte, largestDatagram)
+	for {
+		n, from, err := r.front.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // a refused datagram of before
+		}
+		r.forward(append([]byte(nil), buf[:n]...), from)
+	}
+}
+
+func (r *DatagramRelay) forward(data []byte, from net.Addr) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f := r.flows[from.String()]
+	if f == nil {
+		if f = r.open(from); f == nil {
+			r.lost++
+			return
+		}
+	}
+	r.send(&f.forth, r.forth, data, func() { f.socket.WriteTo(data, r.target) })
+}
+
+// open makes a sender's socket, or nothing where there is no room. The lock is held.
+func (r *DatagramRelay) open(from net.Addr) *flow {
+	if len(r.flows) >= r.most || r.done {
+		return nil
+	}
+	s, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return nil
+	}
+	f := &flow{socket: s, forth: shaper{rng: r.rng}, back: shaper{rng: r.rng}}
+	r.flows[from.String()] = f
+	r.all.Go(func() { r.answers(f, from) })
+	return f
+}
+
+func (r *DatagramRelay) answers(f *flow, to net.Addr) {
+	buf := make([]byte, largestDatagram)
+	for {
+		n, _, err := f.socket.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		data := append([]byte(nil), buf[:n]...)
+		r.mu.Lock()
+		r.send(&f.back, r.back, data, func() { r.front.WriteTo(data, to) })
+		r.mu.Unlock()
+	}
+}
+
+// send lets a datagram go when it is due, or drops it. The lock is held.
+func (r *DatagramRelay) send(s *shaper, c Conditions, data []byte, write func()) {
+	due, arrives := s.datagram(time.Now(), len(data), c)
+	if !arrives || r.done {
+		r.lost++
+		return
+	}
+	r.timers.Add(1)
+	time.AfterFunc(time.Until(due), func() {
+		defer r.timers.Done()
+		write()
+	})
+}
--- /dev/null
+++ b/internal/world/node/load.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"slices"
+	"time"
+)
+
+// Load is a report as a probe sees it.
+type Load struct {
+	Taken time.Duration // when it was read
+	Rate  float64       // requests done a second
+	Util  float64       // share of its cores in use
+}
+
+// look is taken at every tick: at the load, the pressure, and what is due in a report.
+func (n *Node) look() {
+	span := (n.now - n.ticked).Seconds()
+	n.ticked = n.now
+	use := float64(min(len(n.running), n.Cores)) / float64(n.Cores)
+	n.busy += min(1, span/0.5) * (use - n.busy)
+	for len(n.turned) > 0 && n.turned[0] <= n.now-time.Second {
+		n.turned = n.turned[1:]
+	}
+	n.press()
+	n.report()
+}
+
+// press follows a choke: pressure for long enough begins it, rest for long enough ends it. What is turned away presses,
+// too: otherwise a short queue could never choke, whatever is sent.
+func (n *Node) press() {
+	if n.Choke.At == 0 {
+		return
+	}
+	waiting := float64(len(n.queue)+len(n.turned)) / float64(n.Cores)
+	since(&n.pressed, n.now, waiting >= n.Choke.At)
+	since(&n.rested, n.now, n.busy < n.Choke.Below)
+	switch {
+	case n.choked < 0 && n.pressed >= 0 && n.now-n.pressed >= n.Choke.Over:
+		n.choked = n.now
+		n.figures.Chokes++
+	case n.choked >= 0 && (n.rested >= 0 && n.now-n.rested >= n.Choke.Rest || n.now-n.choked >= n.Choke.Most):
+		n.choked, n.pressed = -1, -1
+	}
+}
+
+// since keeps the time from which something has held; below 0 when it does not.
+func since(at *time.Duration, now time.Duration, holds bool) {
+	switch {
+	case !holds:
+		*at = -1
+	case *at < 0:
+		*at = now
+	}
+}
+
+// report takes a reading when one is due, with its noise, and lets those be seen whose delay is over.
+func (n *Node) report() {
+	if n.Report.Period <= 0 {
+		return
+	}
+	for len(n.pending) > 0 && n.pending[0].seen <= n.now {
+		n.reading, n.pending = n.pending[0], n.pending[1:]
+	}
+	last := n.reading.taken
+	if len(n.pending) > 0 {
+		last = n.pending[len(n.pending)-1].taken
+	}
+	span := n.now - last
+	if span < n.Report.Period {
+		return
+	}
+	noise := func() float64 { return max(0, 1+n.Report.Noise*n.rng.NormFloat64()) }
+	n.pending = append(n.pending, reading{taken: n.now, seen: n.now + n.Report.Delay,
+		rate: float64(n.completed) / span.Seconds() * noise(),
+		util: min(1, n.busyTime/span.Seconds()/float64(n.Cores)*noise())})
+	n.completed, n.busyTime = 0, 0
+}
+
+// Probe asks for the load. false: the node takes no more probes for now, or there is no report yet.
+func (n *Node) Probe(now time.Duration) (Load, bool) {
+	n.step(now)
+	n.probes = slices.DeleteFunc(n.probes, func(t time.Duration) bool { return t <= now-time.Second })
+	if n.ProbeRate > 0 && float64(len(n.probes)) >= n.ProbeRate || n.Silent() {
+		return Load{}, false
+	}
+	n.probes = append(n.probes, now)
+	n.figures.Probes++
+	n.overhead(n.ProbeWork)
+	return Load{Taken: n.reading.taken, Rate: n.reading.rate, Util: n.reading.util}, n.reading.taken > 0
+}
--- /dev/null
+++ b/internal/world/node/node.go
@@ -0,0 +1,400 @@
+package node
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// tick is how often the model looks at what changes steadily: the ramp of a cold node, a choke, its load.
+const tick = 100 * time.Millisecond
+
+// Work is a request at a node.
+type Work struct {
+	Ticket uint64 // the caller's own number for it, never used twice
+	Key    string
+	Cost   time.Duration // on a core of speed 1
+	Until  time.Duration // when its client stops waiting; 0 for never
+}
+
+// Verdict is what a node does with a request that has come.
+type Verdict int
+
+// The verdicts.
+const (
+	Accepted   Verdict = iota // Done tells how it ends
+	TurnedAway                // unseen: full, draining or over
+	FailedFast                // an error at once; Ran says whether it took effect before
+	Broken                    // its connection breaks; Ran likewise
+	Ignored                   // nothing will ever be said
+)
+
+// Form is how an answer comes out.
+type Form int
+
+// The forms of an answer.
+const (
+	Whole     Form = iota
+	Spoilt         // can't be read
+	Oversized      // is said to be far longer than any answer may be
+)
+
+// Done is the end of work that was accepted.
+type Done struct {
+	Ticket  uint64
+	At      time.Duration // when the answer goes out: later than the end of the work in a trouble
+	OK      bool          // false for an error
+	Expired bool          // its time was over before a slot was free: never ran
+	Form    Form
+	Used    time.Duration // work that went into it
+}
+
+// Figures count what a node has done.
+type Figures struct {
+	Offered, Turned, Failed, Served, Expired, Cancelled int
+	Probes, Handshakes                                  int
+	Work, Wasted                                        time.Duration // done in all; and for answers that nobody got
+	Chokes                                              int
+}
+
+type item struct {
+	Work
+	left, used float64 // seconds on a core of speed 1
+}
+
+// Node is one life of an order node. It is not safe for concurrent use. Times never go back.
+type Node struct {
+	Spec
+	rng      *rand.Rand
+	now      time.Duration
+	running  []*item
+	queue    []*item
+	done     []Done
+	began    []uint64
+	troubles []Trouble
+	conns    int
+	figures  Figures
+
+	ticked    time.Duration
+	turned    []time.Duration // the latest ones turned away
+	pressed   time.Duration   // since when it is under pressure; below 0 when not
+	choked    time.Duration   // since when; below 0 when not
+	rested    time.Duration   // since when it rests; below 0 when not
+	busy      float64         // smoothed share of its cores in use
+	toppled   bool
+	offered   []offer // to a cold node, in the latest FallFor
+	met       map[string]time.Duration
+	probes    []time.Duration // the latest second's
+	reading   reading
+	busyTime  float64 // core-seconds in use since the last reading
+	completed int     // since the last reading
+	pending   []reading
+}
+
+type offer struct {
+	at   time.Duration
+	work float64
+}
+
+// reading is a load report. Seen is when it can be seen.
+type reading struct {
+	taken, seen time.Duration
+	rate, util  float64
+}
+
+// New returns a node that nothing is wrong with yet. The spec must pass Check.
+func New(spec Spec, seed uint64) *Node {
+	return &Node{Spec: spec, rng: rand.New(rand.NewPCG(seed, 0x6e6f6465)), pressed: -1, choked: -1, rested: -1,
+		met: map[string]time.Duration{}}
+}
+
+// Trouble adds a trouble, which must pass its Check.
+func (n *Node) Trouble(t Trouble) { n.troubles = append(n.troubles, t) }
+
+// Figures returns the counts so far.
+func (n *Node) Figures() Figures { return n.figures }
+
+// Toppled reports whether the node was pushed over while cold. It stays down.
+func (n *Node) Toppled() bool { return n.toppled }
+
+// Choked reports whether it is slow after an overload.
+func (n *Node) Choked() bool { return n.choked >= 0 }
+
+// InFlight is what it holds: in work and waiting.
+func (n *Node) InFlight() int { return len(n.running) + len(n.queue) }
+
+// Warm is the share of its capacity that a node has for its age.
+func (n *Node) Warm() float64 {
+	age := n.now - n.Started
+	if n.Started < 0 || age >= n.ColdFor {
+		return 1
+	}
+	return n.ColdFrom + (1-n.ColdFrom)*max(0, float64(age)/float64(n.ColdFor))
+}
+
+// Capacity is the work it can do a second at present, crowding aside.
+func (n *Node) Capacity() float64 { return float64(n.Cores) * n.unit() }
+
+// unit is the speed of a core at present, before what crowding costs.
+func (n *Node) unit() float64 {
+	if n.toppled {
+		return 0
+	}
+	speed := n.Speed * n.Warm() * (1 - n.size(Neighbour)) / max(1, n.size(Slow))
+	if n.choked >= 0 {
+		speed /= n.Choke.Slower
+	}
+	if n.ConnCap > 0 {
+		speed *= 1 - n.FullTax*float64(min(n.conns, n.ConnCap))/float64(n.ConnCap)
+	}
+	return speed
+}
+
+// pace is the work that each request in a slot gets done a second.
+func (n *Node) pace() float64 {
+	if len(n.running) == 0 {
+		return 0
+	}
+	pace := n.unit() * min(1, float64(n.Cores)/float64(len(n.running)))
+	if held := float64(n.InFlight()) / float64(n.Cores); n.ThrashAt > 0 && held > n.ThrashAt {
+		pace *= 1 - n.Thrash*min(1, (held-n.ThrashAt)/n.ThrashAt)
+	}
+	return pace
+}
+
+// Next is when Advance has to be called next at the latest.
+func (n *Node) Next() time.Duration {
+	next := n.ticked + tick
+	if pace := n.pace(); pace > 0 {
+		least := math.Inf(1)
+		for _, it := range n.running {
+			least = min(least, it.left)
+		}
+		next = min(next, n.now+max(1, time.Duration(math.Ceil(least/pace*1e9))))
+	}
+	for _, t := range n.troubles {
+		if at := t.next(n.now); at > 0 {
+			next = min(next, at)
+		}
+	}
+	return next
+}
+
+// Advance lets time pass and returns what has ended since the last call, in order.
+func (n *Node) Advance(now time.Duration) []Done {
+	n.step(now)
+	out := n.done
+	n.done = nil
+	return out
+}
+
+// step lets time pass, and keeps what ends for the next Advance.
+func (n *Node) step(now time.Duration) {
+	for next := n.Next(); next <= now; next = n.Next() {
+		n.pass(next)
+	}
+	if now > n.now {
+		n.pass(now)
+	}
+}
+
+// Began returns the tickets whose work began since the last call: from then on they may have taken effect.
+func (n *Node) Began() []uint64 {
+	out := n.began
+	n.began = nil
+	return out
+}
+
+// pass lets time pass to a moment before which nothing else happens.
+func (n *Node) pass(to time.Duration) {
+	span, pace := (to - n.now).Seconds(), n.pace()
+	for _, it := range n.running {
+		it.left -= span * pace
+		it.used += span * pace
+	}
+	n.busyTime += span * float64(min(len(n.running), n.Cores))
+	n.now = to
+	for i := 0; i < len(n.running); {
+		if it := n.running[i]; it.left <= 1e-9 {
+			n.running = slices.Delete(n.running, i, i+1)
+			n.finish(it)
+			continue
+		}
+		i++
+	}
+	if n.now >= n.ticked+tick {
+		n.look()
+	}
+	n.fill()
+}
+
+// finish ends work that is done.
+func (n *Node) finish(it *item) {
+	used := time.Duration(it.used * 1e9)
+	n.figures.Work += used
+	n.completed++
+	d := Done{Ticket: it.Ticket, At: n.now, OK: !n.chance(n.ErrorRate), Used: used}
+	if d.OK {
+		n.figures.Served++
+	} else {
+		n.figures.Failed++
+		n.figures.Wasted += used
+	}
+	switch {
+	case n.chance(n.size(Spoil)):
+		d.Form = Spoilt
+	case n.chance(n.size(Oversize)):
+		d.Form = Oversized
+	}
+	d.At += time.Duration(n.size(Late) * 1e9)
+	n.remember(it.Key)
+	n.done = append(n.done, d)
+}
+
+// remember notes that a key was met, and forgets the oldest beyond the bound.
+func (n *Node) remember(key string) {
+	if key == "" || n.Affinity.Keys == 0 {
+		return
+	}
+	n.met[key] = n.now
+	if len(n.met) <= n.Affinity.Keys {
+		return
+	}
+	oldest, at := "", time.Duration(math.MaxInt64)
+	for k, t := range n.met {
+		if t < at || t == at && k < oldest {
+			oldest, at = k, t
+		}
+	}
+	delete(n.met, oldest)
+}
+
+// fill gives free slots to what waits.
+func (n *Node) fill() {
+	slots := max(1, int(float64(n.Cores)*n.SlotsPerCore))
+	for len(n.running) < slots && len(n.queue) > 0 {
+		it := n.queue[0]
+		n.queue = n.queue[1:]
+		if it.Until > 0 && n.now >= it.Until && !n.KeepsExpired {
+			n.figures.Expired++
+			n.done = append(n.done, Done{Ticket: it.Ticket, At: n.now, Expired: true})
+			continue
+		}
+		work := it.Cost.Seconds() * max(0.05, 1+n.WorkNoise*n.rng.NormFloat64())
+		if at, ok := n.met[it.Key]; ok && it.Key != "" && n.now-at < n.Affinity.For {
+			work *= 1 - n.Affinity.Gain
+		}
+		it.left = work
+		n.running = append(n.running, it)
+		n.began = append(n.began, it.Ticket)
+	}
+}
+
+// Offer brings a request whose last byte has come. ran tells of a request that was not accepted whether it took effect.
+func (n *Node) Offer(now time.Duration, w Work) (v Verdict, ran bool) {
+	n.step(now)
+	n.figures.Offered++
+	n.count(w)
+	switch {
+	case n.toppled, n.on(Vanish):
+		return Ignored, false
+	case n.on(Drain) || w.Until > 0 && now >= w.Until || len(n.queue) >= int(float64(n.Cores)*n.QueuePerCore) && n.slotsFull():
+		n.figures.Turned++
+		n.turned = append(n.turned, now)
+		return TurnedAway, false
+	case n.chance(n.size(FastFail)):
+		n.figures.Failed++
+		return FailedFast, n.chance(0.5)
+	case n.chance(n.size(ResetConn)):
+		n.figures.Failed++
+		return Broken, n.chance(0.5)
+	}
+	n.queue = append(n.queue, &item{Work: w})
+	n.fill()
+	return Accepted, false
+}
+
+func (n *Node) slotsFull() bool {
+	return len(n.running) >= max(1, int(float64(n.Cores)*n.SlotsPerCore))
+}
+
+// count adds what is sent to a cold node to its budget: more than Overload times its capacity over any FallFor topples it.
+// Three requests of slack stand for chance.
+func (n *Node) count(w Work) {
+	if n.Overload == 0 || n.Warm() == 1 || n.toppled {
+		n.offered = nil
+		return
+	}
+	n.offered = append(n.offered, offer{n.now, w.Cost.Seconds()})
+	for n.offered[0].at <= n.now-n.FallFor {
+		n.offered = n.offered[1:]
+	}
+	sum, largest := 0.0, 0.0
+	for _, o := range n.offered {
+		sum, largest = sum+o.work, max(largest, o.work)
+	}
+	budget := n.Overload * float64(n.Cores) * n.Speed * n.Warm() * n.FallFor.Seconds()
+	if sum > budget+3*largest {
+		n.toppled = true
+		n.running, n.queue = nil, nil
+	}
+}
+
+// Cancel tells that the client of a request has left. Work that has not begun is dropped.
+func (n *Node) Cancel(now time.Duration, ticket uint64) {
+	n.step(now)
+	same := func(it *item) bool { return it.Ticket == ticket }
+	if i := slices.IndexFunc(n.queue, same); i >= 0 {
+		n.queue = slices.Delete(n.queue, i, i+1)
+		n.figures.Cancelled++
+		return
+	}
+	if i := slices.IndexFunc(n.running, same); i >= 0 && !n.KeepsCancelled {
+		used := time.Duration(n.running[i].used * 1e9)
+		n.figures.Work += used
+		n.figures.Wasted += used
+		n.figures.Cancelled++
+		n.running = slices.Delete(n.running, i, i+1)
+		n.fill()
+	}
+}
+
+// overhead is work beside the requests. It delays them where no core is free for it.
+func (n *Node) overhead(work time.Duration) {
+	if len(n.running) < n.Cores {
+		return
+	}
+	for _, it := range n.running {
+		it.left += work.Seconds() / float64(len(n.running))
+	}
+}
+
+// Connect brings a new connection; false refuses it. A vanished node says nothing at all: see Silent.
+func (n *Node) Connect(now time.Duration) bool {
+	n.step(now)
+	if n.toppled || n.on(Flap) || n.ConnCap > 0 && n.conns >= n.ConnCap {
+		return false
+	}
+	n.conns++
+	n.figures.Handshakes++
+	n.overhead(n.Handshake)
+	return true
+}
+
+// Disconnect tells that a connection has ended.
+func (n *Node) Disconnect(now time.Duration) {
+	n.step(now)
+	n.conns--
+}
+
+// Silent reports whether the node says nothing to anybody at present.
+func (n *Node) Silent() bool { return n.toppled || n.on(Vanish) }
+
+// CloseIdle draws whether a connection that has been idle for this long since the last call is closed by the node.
+func (n *Node) CloseIdle(span time.Duration) bool {
+	return n.chance(1 - math.Pow(1-min(1, n.size(IdleClose)), span.Seconds()))
+}
+
+// Conns is how many connections it holds.
+func (n *Node) Conns() int { return n.conns }
--- /dev/null
+++ b/internal/world/node/trouble.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Kind names a trouble.
+type Kind string
+
+// The troubles. Size is what its comment says.
+const (
+	Slow      Kind = "slow"        // Size times slower
+	FastFail  Kind = "fast-errors" // Size: share of requests failed at once
+	Neighbour Kind = "neighbour"   // Size: share of the machine taken by another program, on and off
+	Vanish    Kind = "vanish"      // says nothing to anybody; what it has goes on
+	ResetConn Kind = "reset"       // Size: share of requests whose connection breaks after they have come
+	IdleClose Kind = "idle-close"  // Size: idle connections closed a second, as a share of all that are idle
+	Spoil     Kind = "spoil"       // Size: share of answers that can't be read
+	Oversize  Kind = "oversize"    // Size: share of answers far longer than allowed
+	Late      Kind = "late"        // Size: seconds by which answers come late, the work being done
+	Flap      Kind = "flap"        // refuses connections, on and off
+	Drain     Kind = "drain"       // discovery says that it drains; turns new work away once it has started
+	Restart   Kind = "restart"     // dies at From, back at To, cold, under its id
+	Replace   Kind = "replace"     // dies at From, back at To, cold, under a new id at the same address
+)
+
+// Kinds are all the troubles.
+var kinds = []Kind{Slow, FastFail, Neighbour, Vanish, ResetConn, IdleClose, Spoil, Oversize, Late, Flap, Drain, Restart, Replace}
+
+// Kinds lists the names of all troubles.
+func Kinds() []Kind { return slices.Clone(kinds) }
+
+// Trouble is something that goes wrong with a node from one time to another.
+type Trouble struct {
+	Kind     Kind
+	From, To time.Duration
+	Size     float64
+	On, Off  time.Duration // of those that come and go; always on without
+}
+
+// Check says what is wrong with a trouble.
+func (t Trouble) Check() error {
+	if !slices.Contains(kinds, t.Kind) {
+		return fmt.Errorf("unknown trouble %q: there are %v", t.Kind, kinds)
+	}
+	if t.From < 0 || t.To <= t.From {
+		return fmt.Errorf("trouble %s must end after it begins, and begin at 0 or later", t.Kind)
+	}
+	if t.On < 0 || t.Off < 0 || t.Off > 0 && t.On == 0 {
+		return fmt.Errorf("trouble %s: a time off needs a time on", t.Kind)
+	}
+	wrong := false
+	switch t.Kind {
+	case Slow:
+		wrong = t.Size < 1
+	case FastFail, ResetConn, Spoil, Oversize, IdleClose:
+		wrong = t.Size <= 0 || t.Size > 1
+	case Neighbour:
+		wrong = t.Size <= 0 || t.Size >= 1
+	case Late:
+		wrong = t.Size <= 0
+	}
+	if wrong {
+		return fmt.Errorf("trouble %s can't have the size %v", t.Kind, t.Size)
+	}
+	return nil
+}
+
+// active reports whether the trouble is on.
+func (t Trouble) active(now time.Duration) bool {
+	if now < t.From || now >= t.To {
+		return false
+	}
+	return t.Off == 0 || (now-t.From)%(t.On+t.Off) < t.On
+}
+
+// next is the next time after now at which it begins, ends, comes or goes; 0 when there is none.
+func (t Trouble) next(now time.Duration) time.Duration {
+	switch {
+	case now < t.From:
+		return t.From
+	case now >= t.To:
+		return 0
+	case t.Off == 0:
+		return t.To
+	}
+	period := t.On + t.Off
+	cycle := t.From + (now-t.From)/period*period
+	if at := cycle + t.On; at > now {
+		return min(at, t.To)
+	}
+	return min(cycle+period, t.To)
+}
+
+// size is the largest size of a kind of trouble that is on, or 0.
+func (n *Node) size(k Kind) (size float64) {
+	for _, t := range n.troubles {
+		if t.Kind == k && t.active(n.now) {
+			size = max(size, t.Size)
+		}
+	}
+	return size
+}
+
+// on reports whether a trouble of that kind is on.
+func (n *Node) on(k Kind) bool {
+	return slices.ContainsFunc(n.troubles, func(t Trouble) bool { return t.Kind == k && t.active(n.now) })
+}
+
+func (n *Node) chance(share float64) bool { return share > 0 && n.rng.Float64() < share }
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"appleledge/logic"
+	"ryeweir/logic"
 )
 
 func Example() {
