--- /dev/null
+++ b/internal/world/backend/backend.go
@@ -0,0 +1,614 @@
+// Package backend puts an order node on a listener: HTTP/1.1 as the platform's protocol has it, round the node's model.
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"ryeweir/internal/world/node"
+)
+
+// Watcher sees what happens at a node. Its methods are called without a lock of the backend's.
+type Watcher interface {
+	Known(id string) bool // whether a caller sent such a request
+	Came(id, node string, first time.Duration)
+	Began(id, node string, at time.Duration)
+	Made(id string, sum uint64)
+	Toppled(node string, at time.Duration)
+}
+
+// Config is what a backend is given.
+type Config struct {
+	Listen   func() (net.Listener, error) // called at each start of the process
+	Epoch    time.Time                    // when the node's time is 0
+	Watch    Watcher                      // may be nil
+	Strict   bool                         // a request that no caller sent gets 400
+	IdleFor  time.Duration                // connections idle for so long are closed; 0 for never
+	Via      string                       // how load is reported: piggyback, pull or silent
+	Fields   []string                     // of a load report
+	MaxConns int                          // connections that are served at a time; 0 for 4,096
+}
+
+const (
+	maxBody      = 32 << 20
+	defaultConns = 4096
+	sweepEvery   = 100 * time.Millisecond
+	defaultWork  = 30 * time.Millisecond // of a request that does not say
+	// The figures in X-Attrs that the emulator's callers send and its nodes read.
+	attrWork   = "work"   // microseconds on a core of speed 1
+	attrAnswer = "answer" // bytes
+	largest    = 32 << 20
+)
+
+// Backend is an order node at an address, through its lives.
+type Backend struct {
+	cfg  Config
+	all  sync.WaitGroup // connections and the driver
+	stop context.CancelFunc
+
+	mu       sync.Mutex
+	node     *node.Node
+	listener net.Listener // nil while the process is down
+	conns    map[*conn]struct{}
+	ticket   uint64
+	waiting  map[uint64]*attempt
+	wake     chan struct{} // one place: something has changed for the driver
+	told     bool          // that it toppled
+	past     node.Figures  // of earlier lives
+}
+
+// attempt is a request that the node has accepted.
+type attempt struct {
+	id   string
+	done chan node.Done // one place
+}
+
+// Start starts a backend with its node's first life.
+func Start(ctx context.Context, cfg Config, spec node.Spec, seed uint64) (*Backend, error) {
+	if err := spec.Check(); err != nil {
+		return nil, err
+	}
+	if cfg.MaxConns == 0 {
+		cfg.MaxConns = defaultConns
+	}
+	ctx, stop := context.WithCancel(ctx)
+	b := &Backend{cfg: cfg, stop: stop, conns: map[*conn]struct{}{}, waiting: map[uint64]*attempt{}, wake: make(chan struct{}, 1)}
+	if err := b.live(spec, seed); err != nil {
+		stop()
+		return nil, err
+	}
+	b.all.Go(func() { b.drive(ctx) })
+	return b, nil
+}
+
+// live begins a life.
+func (b *Backend) live(spec node.Spec, seed uint64) error {
+	l, err := b.cfg.Listen()
+	if err != nil {
+		return fmt.Errorf("node %s: %w", spec.ID, err)
+	}
+	n := node.New(spec, seed)
+	n.Advance(b.now())
+	b.mu.Lock()
+	b.node, b.listener, b.told = n, l, false
+	b.mu.Unlock()
+	b.all.Go(func() { b.accept(l) })
+	return nil
+}
+
+// Restart begins another life after Kill. Troubles of the earlier one do not carry over.
+func (b *Backend) Restart(spec node.Spec, seed uint64) error {
+	if err := b.live(spec, seed); err != nil {
+		return err
+	}
+	b.poke()
+	return nil
+}
+
+// Kill is the sudden death of the process: its connections are reset and new ones refused.
+func (b *Backend) Kill() {
+	b.mu.Lock()
+	if b.listener == nil {
+		b.mu.Unlock()
+		return
+	}
+	l := b.listener
+	b.listener = nil
+	b.past = b.past.Plus(b.node.Figures())
+	conns := make([]*conn, 0, len(b.conns))
+	for c := range b.conns {
+		conns = append(conns, c)
+	}
+	b.waiting = map[uint64]*attempt{}
+	b.mu.Unlock()
+	l.Close()
+	for _, c := range conns {
+		c.reset()
+	}
+}
+
+// Close ends the backend and waits for all that it does.
+func (b *Backend) Close() {
+	b.Kill()
+	b.stop()
+	b.all.Wait()
+}
+
+// Addr is where the node listens; empty while it is down.
+func (b *Backend) Addr() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.listener == nil {
+		return ""
+	}
+	return b.listener.Addr().String()
+}
+
+// State is what a node is at present, for reports and for those who may see everything.
+type State struct {
+	ID       string
+	Up       bool
+	InFlight int
+	Conns    int
+	Capacity float64 // work a second
+	Choked   bool
+	Toppled  bool
+	Figures  node.Figures // of all its lives
+}
+
+// State returns what the node is at present.
+func (b *Backend) State() State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := State{ID: b.node.ID, Up: b.listener != nil, Figures: b.past}
+	if s.Up {
+		s.InFlight, s.Conns, s.Capacity = b.node.InFlight(), b.node.Conns(), b.node.Capacity()
+		s.Choked, s.Toppled = b.node.Choked(), b.node.Toppled()
+		s.Figures = s.Figures.Plus(b.node.Figures())
+	}
+	return s
+}
+
+// Trouble adds a trouble to the node's present life.
+func (b *Backend) Trouble(t node.Trouble) {
+	b.mu.Lock()
+	b.node.Trouble(t)
+	b.mu.Unlock()
+	b.poke()
+}
+
+func (b *Backend) now() time.Duration { return max(1, time.Since(b.cfg.Epoch)) }
+
+func (b *Backend) poke() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// drive lets the model's time pass and hands out what ends.
+func (b *Backend) drive(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	swept := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-b.wake:
+		}
+		if span := time.Since(swept); span >= sweepEvery {
+			swept = time.Now()
+			b.sweep(span)
+		}
+		b.mu.Lock()
+		events := b.settle()
+		next := b.node.Next()
+		toppled := b.node.Toppled() && !b.told
+		b.told = b.told || toppled
+		id := b.node.ID
+		b.mu.Unlock()
+		events()
+		if toppled && b.cfg.Watch != nil {
+			b.cfg.Watch.Toppled(id, b.now())
+		}
+		timer.Reset(max(0, next-b.now()))
+	}
+}
+
+// settle lets time pass and hands out what ended. What it returns tells the watcher, and is called without the lock.
+func (b *Backend) settle() (tell func()) {
+	now := b.now()
+	done := b.node.Advance(now)
+	began := b.node.Began()
+	id := b.node.ID
+	var started []string
+	for _, t := range began {
+		if a := b.waiting[t]; a != nil {
+			started = append(started, a.id)
+		}
+	}
+	for _, d := range done {
+		if a := b.waiting[d.Ticket]; a != nil {
+			delete(b.waiting, d.Ticket)
+			a.done <- d
+		}
+	}
+	return func() {
+		if b.cfg.Watch != nil {
+			for _, s := range started {
+				b.cfg.Watch.Began(s, id, now)
+			}
+		}
+	}
+}
+
+// sweep closes idle connections: after the limit, and as a trouble has it.
+func (b *Backend) sweep(span time.Duration) {
+	now := time.Now()
+	var old []*conn
+	b.mu.Lock()
+	for c := range b.conns {
+		if since := c.idleSince; !since.IsZero() &&
+			(b.cfg.IdleFor > 0 && now.Sub(since) >= b.cfg.IdleFor || now.Sub(since) > 0 && b.node.CloseIdle(min(span, now.Sub(since)))) {
+			old = append(old, c)
+		}
+	}
+	b.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+func (b *Backend) accept(l net.Listener) {
+	for {
+		raw, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond) // out of descriptors, say
+			continue
+		}
+		c := &conn{Conn: raw, backend: b, idleSince: time.Now()}
+		b.mu.Lock()
+		welcome := node.Refused
+		if b.listener == l && len(b.conns) < b.cfg.MaxConns {
+			welcome = b.node.Connect(b.now())
+		}
+		if welcome != node.Refused {
+			c.node, c.full = b.node, welcome == node.Full
+			b.conns[c] = struct{}{}
+		}
+		b.mu.Unlock()
+		if welcome == node.Refused {
+			c.reset()
+			continue
+		}
+		b.all.Go(c.serve)
+	}
+}
+
+// conn is a connection from an agent.
+type conn struct {
+	net.Conn
+	backend   *Backend
+	node      *node.Node // the life that took it
+	full      bool       // the node holds as many as it can: what comes on this one is turned away
+	idleSince time.Time  // zero while a request is open; the backend's lock guards it
+}
+
+// reset breaks the connection.
+func (c *conn) reset() {
+	switch raw := c.Conn.(type) {
+	case interface{ Reset() }:
+		raw.Reset()
+	case *net.TCPConn:
+		raw.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (c *conn) idle(is bool) {
+	c.backend.mu.Lock()
+	defer c.backend.mu.Unlock()
+	c.idleSince = time.Time{}
+	if is {
+		c.idleSince = time.Now()
+	}
+}
+
+// incoming is a request that has come whole.
+type incoming struct {
+	*http.Request
+	first time.Duration // when its first byte came
+}
+
+// serve answers one request after the other. While one is open, another goroutine waits for the next, or for the end of
+// the connection, which gives the open one up.
+func (c *conn) serve() {
+	requests, next := make(chan incoming), make(chan struct{})
+	ended := make(chan struct{})
+	var reader sync.WaitGroup
+	reader.Go(func() {
+		defer close(ended)
+		in := bufio.NewReader(c)
+		for {
+			if _, err := in.Peek(1); err != nil {
+				return
+			}
+			<-next // at most one request is open
+			first := c.backend.now()
+			c.idle(false)
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBody)); err != nil {
+				return
+			}
+			requests <- incoming{r, first}
+		}
+	})
+	defer func() {
+		c.Close()
+		for open := true; open; { // let the reader go on to its end
+			select {
+			case next <- struct{}{}:
+			case <-requests:
+			case <-ended:
+				open = false
+			}
+		}
+		reader.Wait()
+		c.backend.mu.Lock()
+		defer c.backend.mu.Unlock()
+		delete(c.backend.conns, c)
+		if c.node == c.backend.node && !c.full {
+			c.node.Disconnect(c.backend.now())
+		}
+	}()
+	for {
+		c.idle(true)
+		select {
+		case next <- struct{}{}:
+		case <-ended:
+			return
+		}
+		select {
+		case r := <-requests:
+			if !c.answer(r, ended) {
+				return
+			}
+		case <-ended:
+			return
+		}
+	}
+}
+
+// attrs reads the figures in X-Attrs.
+func attrs(text string) map[string]float64 {
+	out := map[string]float64{}
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if x, err := strconv.ParseFloat(value, 64); ok && err == nil && x >= 0 && x < 1e12 {
+			out[name] = x
+		}
+	}
+	return out
+}
+
+// work reads from a request what it costs and how long its client waits.
+func (b *Backend) work(r incoming) (w node.Work, answer int) {
+	figures := attrs(r.Header.Get("X-Attrs"))
+	w.Key = r.Header.Get("X-Route-Key")
+	w.Cost = defaultWork
+	if us, err := strconv.ParseFloat(r.Header.Get("X-Cost"), 64); err == nil && us > 0 && us < 1e9 {
+		w.Cost = time.Duration(us * 1e3)
+	}
+	if us, ok := figures[attrWork]; ok {
+		w.Cost = time.Duration(us * 1e3)
+	}
+	text := r.Header.Get("X-Timeout")
+	if n := len(text); n > 1 {
+		if x, err := strconv.ParseFloat(text[:n-1], 64); err == nil && x > 0 {
+			unit := map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}[text[n-1]]
+			w.Until = r.first + time.Duration(x*float64(unit))
+		}
+	}
+	return w, int(min(largest, figures[attrAnswer]))
+}
+
+// answer answers a request; false ends the connection.
+func (c *conn) answer(r incoming, ended <-chan struct{}) bool {
+	b := c.backend
+	if r.URL.Path == "/health" || r.URL.Path == "/status/load" {
+		return c.probe(r)
+	}
+	id := r.Header.Get("X-Request-ID")
+	if id == "" {
+		return c.say(http.StatusNotFound, "", "no id\n")
+	}
+	if b.cfg.Strict && b.cfg.Watch != nil && !b.cfg.Watch.Known(id) {
+		return c.say(http.StatusBadRequest, "", "nobody sent this id\n")
+	}
+	if b.cfg.Watch != nil {
+		b.cfg.Watch.Came(id, c.node.ID, r.first)
+	}
+	if c.full {
+		c.say(http.StatusServiceUnavailable, "X-Not-Processed: 1\r\nConnection: close\r\n", "")
+		return false
+	}
+	w, size := b.work(r)
+	a := &attempt{id: id, done: make(chan node.Done, 1)}
+	b.mu.Lock()
+	if c.node != b.node || b.listener == nil {
+		b.mu.Unlock()
+		return false
+	}
+	b.ticket++
+	w.Ticket = b.ticket
+	b.waiting[w.Ticket] = a
+	verdict, ran := b.node.Offer(b.now(), w)
+	if verdict != node.Accepted {
+		delete(b.waiting, w.Ticket)
+	}
+	tell := b.settle()
+	b.mu.Unlock()
+	b.poke()
+	tell()
+	if ran && b.cfg.Watch != nil {
+		b.cfg.Watch.Began(id, c.node.ID, b.now())
+	}
+	switch verdict {
+	case node.TurnedAway:
+		return c.say(http.StatusServiceUnavailable, "X-Not-Processed: 1\r\n"+c.report(), "")
+	case node.FailedFast:
+		return c.say(http.StatusInternalServerError, c.report(), "an error\n")
+	case node.Broken:
+		c.reset()
+		return false
+	case node.Ignored:
+		<-ended
+		return false
+	}
+	select {
+	case d := <-a.done:
+		return c.finish(id, w.Ticket, size, d, ended)
+	case <-ended:
+		b.mu.Lock()
+		if c.node == b.node {
+			b.node.Cancel(b.now(), w.Ticket)
+		}
+		delete(b.waiting, w.Ticket)
+		b.mu.Unlock()
+		b.poke()
+		return false
+	}
+}
+
+// finish gives the answer of work that has ended.
+func (c *conn) finish(id string, ticket uint64, size int, d node.Done, ended <-chan struct{}) bool {
+	b := c.backend
+	if wait := d.At - b.now(); wait > 0 {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ended:
+			return false
+		}
+	}
+	b.mu.Lock()
+	silent := c.node.Silent()
+	b.mu.Unlock()
+	switch {
+	case silent:
+		<-ended
+		return false
+	case d.Expired:
+		return c.say(http.StatusGatewayTimeout, "X-Not-Processed: 1\r\n"+c.report(), "")
+	case !d.OK:
+		return c.say(http.StatusInternalServerError, c.report(), "an error\n")
+	case d.Form == node.Spoilt:
+		_, err := io.WriteString(c, "HTTP/1.1 2\x00\x01 spoilt\r\nContent-Len")
+		return err == nil
+	case d.Form == node.Oversized:
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"+strings.Repeat("x", 4096))
+		return err == nil
+	}
+	text := body(id, c.node.ID, ticket, size)
+	if b.cfg.Watch != nil {
+		sum := NewSum()
+		io.WriteString(sum, text)
+		b.cfg.Watch.Made(id, sum.Sum64())
+	}
+	return c.say(http.StatusOK, c.report(), text)
+}
+
+// body is what a node makes for a request: no two are alike.
+func body(id, node string, ticket uint64, size int) string {
+	head := fmt.Sprintf("request %s served by %s as its number %d\n", id, node, ticket)
+	if size <= len(head) {
+		return head
+	}
+	line := "this line fills the answer up to its size, as menus and receipts do\n"
+	return head + strings.Repeat(line, (size-len(head))/len(line)+1)[:size-len(head)]
+}
+
+// NewSum sums up an answer's body, for callers and nodes to compare.
+func NewSum() hash.Hash64 { return fnv.New64a() }
+
+// report is the header with the load, where answers bring it.
+func (c *conn) report() string {
+	if c.backend.cfg.Via != "piggyback" {
+		return ""
+	}
+	c.backend.mu.Lock()
+	defer c.backend.mu.Unlock()
+	text, ok := c.load()
+	if !ok {
+		return ""
+	}
+	return "X-Server-Load: " + text + "\r\n"
+}
+
+// load is a report's text. The lock is held.
+func (c *conn) load() (string, bool) {
+	l, ok := c.node.Load()
+	if !ok {
+		return "", false
+	}
+	values := map[string]float64{"qps": l.Rate, "util": l.Util, "inflight": float64(c.node.InFlight()), "eps": 0,
+		"queue": float64(c.node.Waiting()), "latency_ms": 0}
+	var parts []string
+	for _, f := range c.backend.cfg.Fields {
+		parts = append(parts, f+"="+strconv.FormatFloat(values[f], 'g', 4, 64))
+	}
+	return strings.Join(parts, ","), true
+}
+
+// probe answers a probe.
+func (c *conn) probe(r incoming) bool {
+	b := c.backend
+	if b.cfg.Via == "silent" {
+		return c.say(http.StatusNotFound, "", "")
+	}
+	b.mu.Lock()
+	silent := c.node.Silent()
+	ok := c.node.Probe(b.now())
+	text, _ := c.load()
+	b.mu.Unlock()
+	switch {
+	case silent:
+		return true // no answer, now or ever
+	case !ok:
+		return c.say(http.StatusServiceUnavailable, "", "")
+	case r.URL.Path == "/health":
+		text = "ok"
+	}
+	return c.say(http.StatusOK, "", text+"\n")
+}
+
+// writeTimeout is for an answer that nobody reads.
+const writeTimeout = 10 * time.Second
+
+// say writes an answer; false ends the connection.
+func (c *conn) say(status int, headers, body string) bool {
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n", status, http.StatusText(status), headers, len(body))
+	_, err := io.WriteString(c, text+body)
+	return err == nil
+}
--- /dev/null
+++ b/internal/world/callers/client.go
@@ -0,0 +1,243 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"ryeweir/internal/world/backend"
+	"ryeweir/internal/world/referee"
+)
+
+// Client sends requests to one address over connections of its own. It sends nothing again by itself, but for one case
+// that the protocol names: a kept connection that closes with nothing said, before the request was read there.
+type Client struct {
+	Addr string
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+	mu   sync.Mutex
+	idle []*clientConn
+}
+
+type clientConn struct {
+	net.Conn
+	in    *bufio.Reader
+	since time.Time
+}
+
+const (
+	keepFor   = 1500 * time.Millisecond // less than agents do, so that closes rarely cross requests
+	mostKept  = 256
+	mostBody  = 64 << 20
+	tellsMost = 10 * time.Second // come-back times beyond this are no use to anybody
+)
+
+// Message is a request on the wire.
+type Message struct {
+	ID, Class, Tenant, Key string
+	Once                   bool
+	Timeout                time.Duration
+	Hint, Work             time.Duration
+	Answer                 int           // bytes wanted
+	Body                   string        // of one that must not be repeated
+	Pace                   time.Duration // a slow caller: between pieces of the request
+}
+
+func (m Message) text(host string) string {
+	var b strings.Builder
+	method := http.MethodGet
+	if m.Once {
+		method = http.MethodPost
+	}
+	fmt.Fprintf(&b, "%s /%s HTTP/1.1\r\nHost: %s\r\nX-Request-ID: %s\r\nX-Timeout: %du\r\n", method, m.Class, host, m.ID, m.Timeout.Microseconds())
+	if m.Tenant != "" {
+		b.WriteString("X-Tenant-Id: " + m.Tenant + "\r\n")
+	}
+	if m.Key != "" {
+		b.WriteString("X-Route-Key: " + m.Key + "\r\n")
+	}
+	if m.Hint > 0 {
+		b.WriteString("X-Cost: " + strconv.FormatInt(m.Hint.Microseconds(), 10) + "\r\n")
+	}
+	fmt.Fprintf(&b, "X-Attrs: work=%d", m.Work.Microseconds())
+	if m.Answer > 0 {
+		fmt.Fprintf(&b, ",answer=%d", m.Answer)
+	}
+	b.WriteString("\r\n")
+	if m.Once {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(m.Body))
+	}
+	b.WriteString("\r\n")
+	if m.Once {
+		b.WriteString(m.Body)
+	}
+	return b.String()
+}
+
+// Answer is how a request ended.
+type Answer struct {
+	End      referee.End
+	Status   int
+	Sum      uint64 // of the body of a 200
+	Bytes    int64
+	ComeBack time.Duration
+	Sent     time.Time // when its last byte was written
+}
+
+// Send sends a request and waits for its answer until the context ends. sentOn is asked, where a kept connection has
+// closed with nothing said, whether the request went on to a node: then it had been read.
+func (c *Client) Send(ctx context.Context, m Message, sentOn func() bool) Answer {
+	for again := false; ; again = true {
+		conn, kept, err := c.conn(ctx, again)
+		if err != nil {
+			return Answer{End: referee.Unsent}
+		}
+		a, keep := conn.exchange(ctx, m, c.Addr)
+		if keep {
+			c.put(conn)
+		} else {
+			conn.Close()
+		}
+		crossed := a.End == referee.Closed || a.End == referee.Unsent
+		if !crossed || !kept || again || sentOn() || ctx.Err() != nil {
+			return a
+		}
+	}
+}
+
+func (c *Client) conn(ctx context.Context, fresh bool) (conn *clientConn, kept bool, err error) {
+	c.mu.Lock()
+	for !fresh && len(c.idle) > 0 {
+		last := c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if time.Since(last.since) < keepFor {
+			c.mu.Unlock()
+			return last, true, nil
+		}
+		last.Close()
+	}
+	c.mu.Unlock()
+	raw, err := c.Dial(ctx, "tcp", c.Addr)
+	if err != nil {
+		return nil, false, err
+	}
+	return &clientConn{Conn: raw, in: bufio.NewReader(raw)}, false, nil
+}
+
+func (c *Client) put(conn *clientConn) {
+	conn.since = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.idle) > 0 && (len(c.idle) >= mostKept || time.Since(c.idle[0].since) >= keepFor) {
+		c.idle[0].Close()
+		c.idle = c.idle[1:]
+	}
+	c.idle = append(c.idle, conn)
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.idle {
+		conn.Close()
+	}
+	c.idle = nil
+}
+
+// exchange sends a request and reads its answer.
+func (c *clientConn) exchange(ctx context.Context, m Message, host string) (a Answer, keep bool) {
+	if c.SetDeadline(time.Time{}) != nil {
+		return Answer{End: referee.Unsent}, false
+	}
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer func() { keep = stop() && keep }()
+	if err := c.write(ctx, m, host); err != nil {
+		// An answer may have come before all was sent.
+		if ctx.Err() != nil {
+			return Answer{End: referee.Unsent}, false
+		}
+	}
+	a.Sent = time.Now()
+	if _, err := c.in.Peek(1); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			a.End = referee.Nothing
+		} else {
+			a.End = referee.Closed
+		}
+		return a, false
+	}
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		a.End = begun(err)
+		return a, false
+	}
+	sum := backend.NewSum()
+	a.Bytes, err = io.Copy(sum, io.LimitReader(resp.Body, mostBody))
+	a.Status = resp.StatusCode
+	if err != nil {
+		a.End = begun(err)
+		return a, false
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		a.End, a.Sum = referee.Served, sum.Sum64()
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		a.End = referee.Refused
+		if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && s > 0 {
+			a.ComeBack = time.Duration(min(s, tellsMost.Seconds()) * float64(time.Second))
+		}
+	default:
+		a.End = referee.Failed
+	}
+	return a, !resp.Close
+}
+
+// begun is the end of an answer that had begun and is not whole.
+func begun(err error) referee.End {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return referee.Nothing
+	}
+	return referee.Failed
+}
+
+// pieces is how many pieces a slow caller sends a request in.
+const pieces = 8
+
+func (c *clientConn) write(ctx context.Context, m Message, host string) error {
+	text := m.text(host)
+	if m.Pace == 0 {
+		_, err := io.WriteString(c, text)
+		return err
+	}
+	for i := range pieces {
+		if _, err := io.WriteString(c, text[len(text)*i/pieces:len(text)*(i+1)/pieces]); err != nil {
+			return err
+		}
+		if i < pieces-1 && !sleep(ctx, m.Pace) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// sleep waits; false says that the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/world/callers/habits.go
@@ -0,0 +1,83 @@
+package callers
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"ryeweir/internal/world/referee"
+)
+
+// Habits are how clients go about their tries.
+type Habits struct {
+	Retries   int           // further tries by the client itself
+	TryShare  float64       // of the class's deadline after which a try is given up
+	Backoff   time.Duration // before a further try
+	Heed      float64       // share of clients that stay away for as long as a refusal says
+	MostHeed  time.Duration // the longest come-back time that they heed
+	Impatient float64       // share of clients that leave a try early, at a time drawn evenly
+}
+
+// Journey is a customer's request on its way through the tries of its client. It has no I/O and no clock: the runner tells
+// it how a try ended, and it says what comes next.
+type Journey struct {
+	Planned
+	Class  Class
+	habits Habits
+	rng    *rand.Rand
+	heeds  bool
+	Tries  int
+	result referee.Call
+}
+
+// NewJourney begins a journey.
+func NewJourney(p Planned, c Class, h Habits) *Journey {
+	rng := rand.New(rand.NewPCG(p.Seed, 0x68616269))
+	return &Journey{Planned: p, Class: c, habits: h, rng: rng, heeds: rng.Float64() < h.Heed,
+		result: referee.Call{At: p.At, Class: p.Class, Tenant: p.Tenant, Worth: p.Worth, Late: c.LateWorth, Aim: c.Aim}}
+}
+
+// Try begins a try at a time and says how long the client waits for it, and when it leaves without a word (at the end of
+// that, or earlier where it is impatient). 0 says that there is no time for another.
+func (j *Journey) Try(now time.Duration) (wait, leaves time.Duration) {
+	left := j.At + j.Class.Deadline - now
+	wait = min(left, time.Duration(j.habits.TryShare*float64(j.Class.Deadline)))
+	if j.habits.Retries == 0 || j.habits.TryShare == 0 {
+		wait = left
+	}
+	if wait <= 0 {
+		return 0, 0
+	}
+	j.Tries++
+	leaves = wait
+	if j.rng.Float64() < j.habits.Impatient {
+		leaves = time.Duration(j.rng.Float64() * float64(wait))
+	}
+	return wait, leaves
+}
+
+// Ended takes the end of a try. It returns when the next one is to begin; over says that there is none.
+func (j *Journey) Ended(now time.Duration, end referee.End, comeBack time.Duration) (next time.Duration, over bool) {
+	j.result.Tries = j.Tries
+	switch end {
+	case referee.Served:
+		j.result.Answered, j.result.Latency = true, now-j.At
+		return 0, true
+	case referee.Refused, referee.Unsent:
+	default: // it may have run: only what is safe is asked again
+		if j.Class.Once {
+			return 0, true
+		}
+	}
+	if j.Tries > j.habits.Retries {
+		return 0, true
+	}
+	wait := j.habits.Backoff
+	if j.heeds && end == referee.Refused {
+		wait = max(wait, min(comeBack, j.habits.MostHeed))
+	}
+	next = now + wait
+	return next, next >= j.At+j.Class.Deadline
+}
+
+// Result is what came of it.
+func (j *Journey) Result() referee.Call { return j.result }
--- /dev/null
+++ b/internal/world/callers/plan.go
@@ -0,0 +1,209 @@
+// Package callers is the side that asks: what is sent when is drawn ahead, without I/O, and then sent at those times
+// whether or not earlier answers have come (open loop), so that a slow service can't slow down what is asked of it.
+package callers
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Class is a class of requests.
+type Class struct {
+	Name      string        `toml:"name"`
+	Share     float64       `toml:"share"` // of the requests
+	Work      time.Duration `toml:"-"`     // mean, on a core of speed 1
+	CV        float64       `toml:"cv"`    // of the work: its standard deviation over its mean
+	Aim       time.Duration `toml:"-"`
+	Deadline  time.Duration `toml:"-"` // over all tries
+	Worth     float64       `toml:"worth"`
+	LateWorth float64       `toml:"late_worth"`
+	Once      bool          `toml:"once"` // must never run twice
+}
+
+// Tenant is one for whom requests are made.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"` // of the requests
+}
+
+// Shape names how the rate of requests goes over time.
+type Shape string
+
+// The shapes.
+const (
+	Steady Shape = "steady"
+	Wave   Shape = "wave"  // up and down by Swing, over Period
+	Burst  Shape = "burst" // Swing more for a fifth of each Period
+	Ramp   Shape = "ramp"  // evenly from the rate to (1 + Swing) times it, over all
+)
+
+// Spec says what is asked.
+type Spec struct {
+	Classes []Class
+	Tenants []Tenant
+	Rate    float64 // requests a second, for all agents
+	For     time.Duration
+	Shape   Shape
+	Swing   float64
+	Period  time.Duration
+	Agents  []float64 // the share of each agent
+	Keys    int       // distinct keys; 0 for none
+	Zipf    float64   // how much more popular the first keys are; 0 for all alike
+	Hint    float64   // relative standard deviation of the cost hint; below 0 for no hint
+	Most    int       // requests at most; 0 for 200,000
+}
+
+// DefaultMost is how many requests a plan holds at most where its spec does not say.
+const DefaultMost = 200_000
+
+// Check says what is wrong with a spec.
+func (s Spec) Check() error {
+	if len(s.Classes) == 0 || len(s.Agents) == 0 {
+		return errors.New("there must be a class and an agent")
+	}
+	if !(s.Rate > 0) || s.Rate > 1e6 || s.For <= 0 {
+		return fmt.Errorf("the rate must be above 0 and at most 1,000,000, not %v, and last for a while", s.Rate)
+	}
+	if !slices.Contains([]Shape{Steady, Wave, Burst, Ramp}, s.Shape) {
+		return fmt.Errorf("unknown shape %q: there are steady, wave, burst and ramp", s.Shape)
+	}
+	if s.Swing < 0 || s.Shape == Wave && s.Swing > 1 || s.Period <= 0 && (s.Shape == Wave || s.Shape == Burst) {
+		return errors.New("swing must not be below 0, nor above 1 in a wave, and a wave or bursts need a period")
+	}
+	for _, c := range s.Classes {
+		if c.Share <= 0 || c.Work <= 0 || c.CV < 0 || c.Aim <= 0 || c.Deadline < c.Aim || c.Worth <= 0 || c.LateWorth < 0 || c.LateWorth > 1 {
+			return fmt.Errorf("class %q needs a share, work, worth, an aim above 0 and a deadline not before it", c.Name)
+		}
+	}
+	for _, t := range s.Tenants {
+		if t.Share <= 0 {
+			return fmt.Errorf("tenant %q needs a share above 0", t.Name)
+		}
+	}
+	return nil
+}
+
+// Planned is something to ask: a customer's request, before any try.
+type Planned struct {
+	Number int
+	At     time.Duration
+	Agent  int
+	Class  int
+	Tenant int // -1 without tenants
+	Key    string
+	Work   time.Duration
+	Hint   time.Duration // 0 without one
+	Worth  float64       // its class's, for as much work as it is
+	Seed   uint64        // for what its client draws
+}
+
+// Plan draws what is asked, in the order of time. Arrivals are a Poisson process whose rate follows the shape.
+func Plan(s Spec, seed uint64) ([]Planned, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	most := s.Most
+	if most == 0 {
+		most = DefaultMost
+	}
+	rng := rand.New(rand.NewPCG(seed, 0x63616c6c))
+	highest := s.Rate
+	if s.Shape != Steady {
+		highest *= 1 + s.Swing
+	}
+	classes, tenants := cumulate(s.Classes, func(c Class) float64 { return c.Share }), cumulate(s.Tenants, func(t Tenant) float64 { return t.Share })
+	agents := cumulate(s.Agents, func(x float64) float64 { return x })
+	keys := zipf(s.Keys, s.Zipf)
+	var out []Planned
+	for at := 0.0; ; {
+		at += rng.ExpFloat64() / highest // thinned to the rate at that time
+		now := time.Duration(at * 1e9)
+		if now >= s.For {
+			return out, nil
+		}
+		if rng.Float64()*highest > s.rate(now) {
+			continue
+		}
+		if len(out) == most {
+			return nil, fmt.Errorf("more than %d requests: lower the rate or the time", most)
+		}
+		p := Planned{Number: len(out), At: now, Agent: choose(rng, agents), Class: choose(rng, classes), Tenant: -1, Seed: rng.Uint64()}
+		if len(tenants) > 0 {
+			p.Tenant = choose(rng, tenants)
+		}
+		if len(keys) > 0 {
+			p.Key = fmt.Sprintf("k:%016x", mix(uint64(choose(rng, keys))+1))
+		}
+		c := s.Classes[p.Class]
+		p.Work = work(rng, c)
+		p.Worth = c.Worth * float64(p.Work) / float64(c.Work)
+		if s.Hint >= 0 {
+			p.Hint = max(time.Microsecond, time.Duration(float64(p.Work)*math.Exp(s.Hint*rng.NormFloat64())))
+		}
+		out = append(out, p)
+	}
+}
+
+// rate is how much is asked a second at a time.
+func (s Spec) rate(at time.Duration) float64 {
+	switch s.Shape {
+	case Wave:
+		return s.Rate * (1 + s.Swing*math.Sin(2*math.Pi*float64(at)/float64(s.Period)))
+	case Burst:
+		if at%s.Period < s.Period/5 {
+			return s.Rate * (1 + s.Swing)
+		}
+	case Ramp:
+		return s.Rate * (1 + s.Swing*float64(at)/float64(s.For))
+	}
+	return s.Rate
+}
+
+// work draws from a log-normal distribution with the class's mean and variation.
+func work(rng *rand.Rand, c Class) time.Duration {
+	if c.CV == 0 {
+		return c.Work
+	}
+	variance := math.Log(1 + c.CV*c.CV)
+	x := math.Exp(math.Sqrt(variance)*rng.NormFloat64() - variance/2)
+	return max(100*time.Microsecond, time.Duration(float64(c.Work)*min(x, 20)))
+}
+
+// cumulate is the running sum of shares, ending at 1.
+func cumulate[T any](of []T, share func(T) float64) []float64 {
+	sum := 0.0
+	out := make([]float64, len(of))
+	for i, x := range of {
+		sum += share(x)
+		out[i] = sum
+	}
+	for i := range out {
+		out[i] /= sum
+	}
+	return out
+}
+
+func choose(rng *rand.Rand, cumulated []float64) int {
+	i, _ := slices.BinarySearch(cumulated, rng.Float64())
+	return min(i, len(cumulated)-1)
+}
+
+// zipf is the running sum of the popularity of keys.
+func zipf(n int, exponent float64) []float64 {
+	return cumulate(make([]struct{}, n), func() func(struct{}) float64 {
+		i := 0.0
+		return func(struct{}) float64 { i++; return math.Pow(i, -exponent) }
+	}())
+}
+
+// mix is the splitmix64 finalizer: names of keys tell nothing of their rank.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/world/callers/run.go
@@ -0,0 +1,170 @@
+package callers
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ryeweir/internal/world/referee"
+)
+
+// Route says where a try goes. done is told how it ended.
+type Route func(p Planned, tried []string) (to string, client *Client, done func(referee.End))
+
+// Config is what a run is given.
+type Config struct {
+	Plan    []Planned
+	Classes []Class
+	Tenants []Tenant
+	Habits  Habits
+	Route   Route
+	Referee *referee.Referee
+	Epoch   time.Time // when the plan's time is 0
+	Direct  bool      // tries go straight to nodes, past any agent
+	Most    int       // journeys open at a time; 0 for 20,000
+	Answer  int       // bytes wanted of each answer
+	Body    int       // bytes of a request that must not be repeated
+	Slow    float64   // share of clients that take their time over a request
+	Prefix  uint64    // of the ids, so that several runs against one agent don't mix them up
+	Done    func(referee.Call)
+}
+
+const (
+	defaultMost = 20_000
+	slowPace    = 40 * time.Millisecond // 8 pieces: a request takes 280 ms to write
+	tenantless  = ""
+)
+
+// Figures are what a run says of itself.
+type Figures struct {
+	Skipped int           // asked for while too many were open
+	Lag     time.Duration // the latest that a first try was sent after its time
+}
+
+// Run sends what is planned and returns what came of it, when all is answered or given up. When the context ends it begins
+// nothing more; what is open still ends.
+func Run(ctx context.Context, cfg Config) ([]referee.Call, Figures) {
+	if cfg.Most == 0 {
+		cfg.Most = defaultMost
+	}
+	r := &run{Config: cfg, body: strings.Repeat("o", cfg.Body)}
+	var all sync.WaitGroup
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	<-timer.C
+	for _, p := range cfg.Plan {
+		if wait := p.At - time.Since(cfg.Epoch); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		j := NewJourney(p, cfg.Classes[p.Class], cfg.Habits)
+		if int(r.open.Load()) >= cfg.Most {
+			r.skip(j)
+			continue
+		}
+		r.open.Add(1)
+		all.Go(func() {
+			defer r.open.Add(-1)
+			r.travel(j)
+		})
+	}
+	all.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls, r.figures
+}
+
+type run struct {
+	Config
+	body string
+	open atomic.Int64
+
+	mu      sync.Mutex
+	calls   []referee.Call
+	figures Figures
+}
+
+func (r *run) now() time.Duration { return time.Since(r.Epoch) }
+
+// skip ends a journey that found too many open: its client failed it, and it counts as not served.
+func (r *run) skip(j *Journey) {
+	r.mu.Lock()
+	r.figures.Skipped++
+	r.mu.Unlock()
+	r.finish(j)
+}
+
+func (r *run) finish(j *Journey) {
+	call := j.Result()
+	r.mu.Lock()
+	r.calls = append(r.calls, call)
+	r.mu.Unlock()
+	if r.Done != nil {
+		r.Done(call)
+	}
+}
+
+// travel makes tries until one is the last. It outlives the run's context: a client does not vanish with the plan.
+func (r *run) travel(j *Journey) {
+	defer r.finish(j)
+	r.mu.Lock()
+	r.figures.Lag = max(r.figures.Lag, r.now()-j.At)
+	r.mu.Unlock()
+	var tried []string
+	for {
+		wait, leaves := j.Try(r.now())
+		if wait == 0 {
+			return
+		}
+		to, client, done := r.Route(j.Planned, tried)
+		if client == nil { // nowhere to go
+			return
+		}
+		tried = append(tried, to)
+		m := r.message(j, wait)
+		agent := to
+		if r.Direct {
+			agent = ""
+		}
+		r.Referee.Asked(referee.Ask{ID: m.ID, Agent: agent, Once: j.Class.Once, At: r.now(), Class: j.Class.Name, Tenant: m.Tenant})
+		ctx, cancel := context.WithTimeout(context.Background(), leaves)
+		a := client.Send(ctx, m, func() bool { return r.Referee.SentOn(m.ID) })
+		cancel()
+		now := r.now()
+		r.Referee.Ended(m.ID, a.End, a.Sum, now)
+		done(a.End)
+		next, over := j.Ended(now, a.End, a.ComeBack)
+		if over {
+			return
+		}
+		if wait := next - now; wait > 0 {
+			sleep(context.Background(), wait)
+		}
+	}
+}
+
+func (r *run) message(j *Journey, wait time.Duration) Message {
+	m := Message{ID: ID(r.Prefix, j.Number, j.Tries), Class: j.Class.Name, Tenant: tenantless, Key: j.Key, Once: j.Class.Once,
+		Timeout: wait, Hint: j.Hint, Work: j.Work, Answer: r.Answer, Body: r.body}
+	if j.Tenant >= 0 {
+		m.Tenant = r.Tenants[j.Tenant].Name
+	}
+	if float64(j.Seed>>11)/(1<<53) < r.Slow {
+		m.Pace = slowPace
+	}
+	return m
+}
+
+// ID is the id of a try: 16 hex digits that tell nothing, and are never the same for two tries of a run.
+func ID(prefix uint64, number, try int) string {
+	return fmt.Sprintf("%016x", mix(prefix<<40^uint64(number)<<8^uint64(try)))
+}
--- /dev/null
+++ b/internal/world/day.go
@@ -0,0 +1,414 @@
+// Package world is the emulator: order nodes, discovery, a network with faults, callers and a referee, put together for a
+// day. It imports nothing of the agent.
+package world
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ryeweir/internal/config"
+	"ryeweir/internal/world/callers"
+	"ryeweir/internal/world/link"
+	"ryeweir/internal/world/node"
+)
+
+// DaySpec says in a file what a day is like. What is not stated is as DefaultDay has it.
+type DaySpec struct {
+	Name      string          `toml:"name"`
+	Length    config.Duration `toml:"length"`
+	Agents    int             `toml:"agents"`
+	AgentSkew float64         `toml:"agent_skew"` // how many times busier than the quietest the busiest agent is, less 1
+	Load      float64         `toml:"load"`       // asked for, as a share of what the nodes can do
+	Rate      float64         `toml:"rate"`       // requests a second; goes before load
+	Shape     string          `toml:"shape"`
+	Swing     float64         `toml:"swing"`
+	Period    config.Duration `toml:"period"`
+	Keys      int             `toml:"keys"`
+	Zipf      float64         `toml:"zipf"`
+	Hint      float64         `toml:"hint"` // relative error of the cost hint; below 0 for no hint
+	Answer    int             `toml:"answer_bytes"`
+	Body      int             `toml:"body_bytes"`
+	Kinds     []KindSpec      `toml:"kind"`
+	Zones     []string        `toml:"zones"`
+	Classes   []ClassSpec     `toml:"class"`
+	Tenants   []TenantSpec    `toml:"tenant"`
+	Clients   ClientSpec      `toml:"clients"`
+	Net       NetSpec         `toml:"net"`
+	List      ListSpec        `toml:"list"`
+	Troubles  []TroubleSpec   `toml:"trouble"`
+	Outages   []OutageSpec    `toml:"outage"`
+}
+
+// KindSpec is a kind of machine.
+type KindSpec struct {
+	Name   string  `toml:"name"`
+	Nodes  int     `toml:"nodes"`
+	Cores  int     `toml:"cores"`
+	Speed  float64 `toml:"speed"`
+	Spread float64 `toml:"spread"` // of the speeds: relative standard deviation
+	Queue  float64 `toml:"queue_per_core"`
+	Cold   bool    `toml:"cold"`     // starts with the day
+	Chokes bool    `toml:"chokes"`   // turns slow after a lasting overload
+	Conns  int     `toml:"conn_cap"` // connections held at most
+	Errors float64 `toml:"error_rate"`
+}
+
+// ClassSpec is a class of requests.
+type ClassSpec struct {
+	Name      string          `toml:"name"`
+	Share     float64         `toml:"share"`
+	Work      config.Duration `toml:"work"`
+	CV        float64         `toml:"cv"`
+	Aim       config.Duration `toml:"aim"`
+	Deadline  config.Duration `toml:"deadline"`
+	Worth     float64         `toml:"worth"`
+	LateWorth float64         `toml:"late_worth"`
+	Once      bool            `toml:"once"`
+}
+
+// TenantSpec is a tenant; what it asks for beyond its share is worth less.
+type TenantSpec struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+}
+
+// ClientSpec is how clients behave.
+type ClientSpec struct {
+	Retries   int             `toml:"retries"`
+	TryShare  float64         `toml:"try_share"`
+	Backoff   config.Duration `toml:"backoff"`
+	Heed      float64         `toml:"heed"`
+	MostHeed  config.Duration `toml:"most_heed"`
+	Impatient float64         `toml:"impatient"`
+	Slow      float64         `toml:"slow"` // share that takes its time over sending
+	Rude      float64         `toml:"rude"` // rude clients a second, at each agent
+}
+
+// NetSpec is the network between agents and nodes.
+type NetSpec struct {
+	Same   config.Duration `toml:"same"`  // one way, in a zone
+	Cross  config.Duration `toml:"cross"` // between zones
+	Jitter config.Duration `toml:"jitter"`
+	Loss   float64         `toml:"loss"`
+}
+
+// ListSpec is how discovery behaves.
+type ListSpec struct {
+	Notice config.Duration `toml:"notice"` // until the list tells of a drain or a death
+	Add    config.Duration `toml:"add"`    // and of a start
+	Rate   float64         `toml:"rate"`   // calls a second that it can handle; 0 for no limit
+}
+
+// TroubleSpec is a trouble and whom it befalls: so many nodes, drawn by the day's seed, or those named.
+type TroubleSpec struct {
+	Kind  string          `toml:"kind"`
+	Nodes int             `toml:"nodes"`
+	Names []string        `toml:"names"`
+	From  config.Duration `toml:"from"`
+	To    config.Duration `toml:"to"`
+	Size  float64         `toml:"size"`
+	On    config.Duration `toml:"on"`
+	Off   config.Duration `toml:"off"`
+}
+
+// OutageSpec is a time in which discovery is down.
+type OutageSpec struct {
+	From config.Duration `toml:"from"`
+	To   config.Duration `toml:"to"`
+}
+
+func ms(n float64) config.Duration { return config.Duration(n * float64(time.Millisecond)) }
+
+// DefaultDay is a quiet day of 20 s on ten nodes of two kinds in three zones, with two agents and about 290 requests a
+// second.
+func DefaultDay() DaySpec {
+	return DaySpec{Name: "quiet", Length: config.Duration(20 * time.Second), Agents: 2, AgentSkew: 1, Load: 0.5, Shape: "steady",
+		Period: config.Duration(10 * time.Second), Keys: 700, Zipf: 0.95, Hint: 0.2, Answer: 400, Body: 200,
+		Kinds: DefaultKinds(), Zones: []string{"colombo", "kandy", "galle"}, Classes: DefaultClasses(), Tenants: DefaultTenants(),
+		Clients: ClientSpec{Retries: 3, TryShare: 0.42, Backoff: ms(20), Heed: 0.2, MostHeed: ms(2000), Impatient: 0.015},
+		Net:     NetSpec{Same: ms(0.25), Cross: ms(4.5), Jitter: ms(0.3)},
+		List:    ListSpec{Notice: ms(1000), Add: ms(800), Rate: 60},
+	}
+}
+
+// DefaultKinds are the two kinds of machine.
+func DefaultKinds() []KindSpec {
+	return []KindSpec{
+		{Name: "gen-a", Nodes: 4, Cores: 2, Speed: 0.97, Spread: 0.1, Queue: 2.6, Chokes: true, Conns: 390, Errors: 0.0003},
+		{Name: "gen-b", Nodes: 6, Cores: 2, Speed: 0.75, Spread: 0.16, Queue: 2.5, Chokes: true, Conns: 390, Errors: 0.0003},
+	}
+}
+
+// DefaultClasses are the two classes; their work is scaled so that ten nodes are asked for about 290 requests a second at
+// half of what they can do.
+func DefaultClasses() []ClassSpec {
+	return []ClassSpec{
+		{Name: "price-basket", Share: 0.6, Work: ms(35), CV: 1.1, Aim: ms(500), Deadline: ms(2000), Worth: 1, LateWorth: 0.5},
+		{Name: "place-order", Share: 0.4, Work: ms(18), CV: 1, Aim: ms(200), Deadline: ms(800), Worth: 8, LateWorth: 0.25, Once: true},
+	}
+}
+
+// DefaultTenants are the four brands.
+func DefaultTenants() []TenantSpec {
+	return []TenantSpec{{"ranmuthu-eats", 0.56}, {"kottu-run", 0.24}, {"bath-box", 0.11}, {"sambol-go", 0.09}}
+}
+
+// Fill puts the defaults in place of what a file does not state: a table of a file starts empty.
+func (d *DaySpec) Fill() {
+	def := DefaultDay()
+	fillDuration := func(p *config.Duration, v config.Duration) {
+		if *p == 0 {
+			*p = v
+		}
+	}
+	fillDuration(&d.Length, def.Length)
+	fillDuration(&d.Period, def.Period)
+	if d.Name == "" {
+		d.Name = def.Name
+	}
+	if d.Agents == 0 {
+		d.Agents = def.Agents
+	}
+	if d.Shape == "" {
+		d.Shape = def.Shape
+	}
+	if d.Load == 0 {
+		d.Load = def.Load
+	}
+	if len(d.Kinds) == 0 {
+		d.Kinds = def.Kinds
+	}
+	if len(d.Zones) == 0 {
+		d.Zones = def.Zones
+	}
+	if len(d.Classes) == 0 {
+		d.Classes = def.Classes
+	}
+	if len(d.Tenants) == 0 {
+		d.Tenants = def.Tenants
+	}
+	if d.Clients == (ClientSpec{}) {
+		d.Clients = def.Clients
+	}
+	if d.Net == (NetSpec{}) {
+		d.Net = def.Net
+	}
+	if d.List == (ListSpec{}) {
+		d.List = def.List
+	}
+	if d.Keys == 0 && d.Zipf == 0 {
+		d.Keys, d.Zipf = def.Keys, def.Zipf
+	}
+	if d.Hint == 0 {
+		d.Hint = def.Hint
+	}
+	if d.Answer == 0 {
+		d.Answer = def.Answer
+	}
+	if d.Body == 0 {
+		d.Body = def.Body
+	}
+}
+
+// Bounds of a day.
+const (
+	mostAgents = 64
+	mostNodes  = 256
+	longestDay = time.Hour
+)
+
+// Check says what is wrong, with keys below a prefix such as "day[0].".
+func (d *DaySpec) Check(prefix string) error {
+	var all []error
+	wrong := func(key, format string, args ...any) { all = append(all, config.Wrong(prefix+key, format, args...)) }
+	if d.Length.D() <= 0 || d.Length.D() > longestDay {
+		wrong("length", "must be above 0 and at most %v, not %v", longestDay, d.Length.D())
+	}
+	if d.Agents < 1 || d.Agents > mostAgents {
+		wrong("agents", "must be from 1 to %d, not %d", mostAgents, d.Agents)
+	}
+	if d.AgentSkew < 0 {
+		wrong("agent_skew", "must not be below 0")
+	}
+	if d.Load < 0 || d.Rate < 0 || d.Load > 20 {
+		wrong("load", "load must be from 0 to 20 and rate not below 0")
+	}
+	if d.Answer < 0 || d.Answer > 32<<20 || d.Body < 0 || d.Body > 32<<20 {
+		wrong("answer_bytes", "answers and bodies hold from 0 to 32 MiB")
+	}
+	nodes := 0
+	for i, k := range d.Kinds {
+		nodes += k.Nodes
+		if k.Nodes < 1 || k.Cores < 1 || !(k.Speed > 0) || k.Spread < 0 || k.Spread > 0.5 || k.Queue < 0 || k.Conns < 0 {
+			wrong(fmt.Sprintf("kind[%d].name", i), "%q needs nodes, cores and a speed above 0, a spread from 0 to 0.5, and no figure below 0", k.Name)
+		}
+	}
+	if nodes > mostNodes {
+		wrong("kind", "%d nodes are more than %d", nodes, mostNodes)
+	}
+	for i, c := range d.Classes {
+		if c.Name == "" || c.Share <= 0 || c.Work <= 0 || c.Aim <= 0 || c.Deadline < c.Aim || c.Worth <= 0 || c.LateWorth < 0 || c.LateWorth > 1 || c.CV < 0 {
+			wrong(fmt.Sprintf("class[%d].name", i), "%q needs a name, share, work, worth, an aim above 0 and a deadline not before it", c.Name)
+		}
+	}
+	for i, t := range d.Tenants {
+		if t.Name == "" || t.Share <= 0 || t.Share > 1 {
+			wrong(fmt.Sprintf("tenant[%d].share", i), "must be above 0 and at most 1, of a tenant with a name")
+		}
+	}
+	if err := (link.Conditions{Delay: d.Net.Cross.D(), Jitter: d.Net.Jitter.D(), Loss: d.Net.Loss}).Check(); err != nil || d.Net.Same < 0 {
+		wrong("net.loss", "%v", errors.Join(err, errors.New("no time may be below 0")))
+	}
+	if c := d.Clients; c.Retries < 0 || c.Retries > 10 || c.TryShare < 0 || c.TryShare > 1 || c.Backoff < 0 || c.Heed < 0 || c.Heed > 1 ||
+		c.Impatient < 0 || c.Impatient > 1 || c.Slow < 0 || c.Slow > 1 || c.Rude < 0 || c.Rude > 1000 {
+		wrong("clients.retries", "retries are from 0 to 10, rude clients from 0 to 1,000 a second, shares from 0 to 1, and no time below 0")
+	}
+	for i, t := range d.Troubles {
+		key := fmt.Sprintf("trouble[%d].kind", i)
+		if err := t.trouble().Check(); err != nil {
+			wrong(key, "%v", err)
+		}
+		if t.Nodes < 0 || t.Nodes > nodes || t.Nodes == 0 && len(t.Names) == 0 {
+			wrong(key, "it must befall from 1 to %d nodes, or some that are named", nodes)
+		}
+	}
+	for i, o := range d.Outages {
+		if o.From < 0 || o.To <= o.From {
+			wrong(fmt.Sprintf("outage[%d].from", i), "must be before its end")
+		}
+	}
+	if len(all) > 0 {
+		return errors.Join(all...)
+	}
+	if _, err := d.Draw(1); err != nil {
+		return &config.KeyError{Key: prefix + "name", Err: err}
+	}
+	return nil
+}
+
+func (t TroubleSpec) trouble() node.Trouble {
+	return node.Trouble{Kind: node.Kind(t.Kind), From: t.From.D(), To: t.To.D(), Size: t.Size, On: t.On.D(), Off: t.Off.D()}
+}
+
+// Placed is a trouble at a node.
+type Placed struct {
+	Node int
+	node.Trouble
+}
+
+// Day is a day as it was drawn: equal specs and seeds draw equal days.
+type Day struct {
+	Spec     DaySpec
+	Seed     uint64
+	Length   time.Duration
+	Nodes    []node.Spec
+	Agents   []string
+	Plan     []callers.Planned
+	Classes  []callers.Class
+	Tenants  []callers.Tenant
+	Habits   callers.Habits
+	Troubles []Placed // in the order of their beginning
+	Rate     float64  // requests a second, on average
+	Capacity float64  // work a second that all nodes can do when warm
+}
+
+// Draw draws a day.
+func (d *DaySpec) Draw(seed uint64) (*Day, error) {
+	rng := rand.New(rand.NewPCG(seed, 0x646179))
+	day := &Day{Spec: *d, Seed: seed, Length: d.Length.D()}
+	for _, k := range d.Kinds {
+		for range k.Nodes {
+			id := fmt.Sprintf("node-%02d", len(day.Nodes)+1)
+			s := node.Usual(id, k.Name, d.Zones[len(day.Nodes)%len(d.Zones)], k.Speed*max(0.4, 1+k.Spread*rng.NormFloat64()))
+			s.Cores, s.QueuePerCore, s.ConnCap, s.ErrorRate = k.Cores, k.Queue, k.Conns, k.Errors
+			if !k.Chokes {
+				s.Choke = node.Choke{}
+			}
+			if k.Cold {
+				s.Started = 0
+			}
+			if err := s.Check(); err != nil {
+				return nil, err
+			}
+			day.Nodes = append(day.Nodes, s)
+			day.Capacity += float64(s.Cores) * s.Speed
+		}
+	}
+	work, shares := 0.0, 0.0
+	for _, c := range d.Classes {
+		work += c.Share * c.Work.D().Seconds()
+		shares += c.Share
+		day.Classes = append(day.Classes, callers.Class{Name: c.Name, Share: c.Share, Work: c.Work.D(), CV: c.CV, Aim: c.Aim.D(),
+			Deadline: c.Deadline.D(), Worth: c.Worth, LateWorth: c.LateWorth, Once: c.Once})
+	}
+	for _, t := range d.Tenants {
+		day.Tenants = append(day.Tenants, callers.Tenant{Name: t.Name, Share: t.Share})
+	}
+	if day.Rate = d.Rate; day.Rate == 0 {
+		day.Rate = d.Load * day.Capacity / (work / shares)
+	}
+	shareOf := make([]float64, d.Agents)
+	for i := range shareOf {
+		day.Agents = append(day.Agents, fmt.Sprintf("agent-%d", i))
+		shareOf[i] = 1
+		if d.Agents > 1 {
+			shareOf[i] += d.AgentSkew * float64(i) / float64(d.Agents-1)
+		}
+	}
+	var err error
+	day.Plan, err = callers.Plan(callers.Spec{Classes: day.Classes, Tenants: day.Tenants, Rate: day.Rate, For: day.Length,
+		Shape: callers.Shape(d.Shape), Swing: d.Swing, Period: d.Period.D(), Agents: shareOf, Keys: d.Keys, Zipf: d.Zipf, Hint: d.Hint}, seed)
+	if err != nil {
+		return nil, err
+	}
+	c := d.Clients
+	day.Habits = callers.Habits{Retries: c.Retries, TryShare: c.TryShare, Backoff: c.Backoff.D(), Heed: c.Heed, MostHeed: c.MostHeed.D(), Impatient: c.Impatient}
+	return day, day.place(rng)
+}
+
+// place says which nodes the troubles befall. A node has at most one of those that end its life.
+func (day *Day) place(rng *rand.Rand) error {
+	ends := map[int]bool{}
+	for _, t := range day.Spec.Troubles {
+		trouble := t.trouble()
+		ending := trouble.Kind == node.Drain || trouble.Kind == node.Restart || trouble.Kind == node.Replace
+		var at []int
+		for _, name := range t.Names {
+			i := slices.IndexFunc(day.Nodes, func(s node.Spec) bool { return s.ID == name })
+			if i < 0 {
+				return fmt.Errorf("trouble %s befalls %q, which is no node: they are node-01 to node-%02d", t.Kind, name, len(day.Nodes))
+			}
+			at = append(at, i)
+		}
+		for _, i := range rng.Perm(len(day.Nodes)) {
+			if len(at) < t.Nodes+len(t.Names) && !slices.Contains(at, i) && !(ending && ends[i]) {
+				at = append(at, i)
+			}
+		}
+		for _, i := range at {
+			if ending && ends[i] {
+				return fmt.Errorf("%s ends its life twice", day.Nodes[i].ID)
+			}
+			ends[i] = ends[i] || ending
+			day.Troubles = append(day.Troubles, Placed{i, trouble})
+		}
+	}
+	slices.SortStableFunc(day.Troubles, func(a, b Placed) int { return int(a.From - b.From) })
+	return nil
+}
+
+// LinkTo is the path between two zones.
+func (day *Day) LinkTo(a, b string) link.Conditions {
+	n := day.Spec.Net
+	c := link.Conditions{Delay: n.Cross.D(), Jitter: n.Jitter.D(), Loss: n.Loss}
+	if a == b {
+		c.Delay = n.Same.D()
+	}
+	return c
+}
+
+// AgentZone is where an agent is.
+func (day *Day) AgentZone(agent int) string { return day.Spec.Zones[agent%len(day.Spec.Zones)] }
--- a/internal/world/link/relay.go
+++ b/internal/world/link/relay.go
@@ -13,16 +13,17 @@
 
 // Relay passes streams on between loopback sockets, under conditions that can change while they are open.
 type Relay struct {
-	listener net.Listener
-	target   string
-	all      sync.WaitGroup
-
-	mu    sync.Mutex
-	rng   *rand.Rand
-	forth Conditions
-	back  Conditions
-	open  map[*relayed]struct{}
-	done  bool
+	at     net.Addr
+	target string
+	all    sync.WaitGroup
+
+	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
+	rng      *rand.Rand
+	forth    Conditions
+	back     Conditions
+	open     map[*relayed]struct{}
+	done     bool
 }
 
 // relayed is one stream that is passed on.
@@ -35,13 +36,34 @@
 
 // NewRelay passes on what connects to l to the target. Close ends it, and closes l.
 func NewRelay(l net.Listener, target string, seed uint64) *Relay {
-	r := &Relay{listener: l, target: target, rng: rand.New(rand.NewPCG(seed, 4)), open: map[*relayed]struct{}{}}
-	r.all.Go(r.accept)
+	r := &Relay{at: l.Addr(), listener: l, target: target, rng: rand.New(rand.NewPCG(seed, 4)), open: map[*relayed]struct{}{}}
+	r.all.Go(func() { r.accept(l) })
 	return r
 }
 
 // Addr is where it listens.
-func (r *Relay) Addr() net.Addr { return r.listener.Addr() }
+func (r *Relay) Addr() net.Addr { return r.at }
+
+// Refuse lets new connections be refused, as where no process listens, or takes them again.
+func (r *Relay) Refuse(on bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.done || on == (r.listener == nil):
+		return nil
+	case on:
+		err := r.listener.Close()
+		r.listener = nil
+		return err
+	}
+	l, err := net.Listen("tcp", r.at.String())
+	if err != nil {
+		return fmt.Errorf("relay: listening again: %w", err)
+	}
+	r.listener = l
+	r.all.Go(func() { r.accept(l) })
+	return nil
+}
 
 // Set changes the conditions towards the target and back.
 func (r *Relay) Set(forth, back Conditions) {
@@ -72,9 +94,12 @@
 
 // Close ends the relay with all its streams and waits for them.
 func (r *Relay) Close() error {
-	err := r.listener.Close()
 	r.mu.Lock()
 	r.done = true
+	var err error
+	if r.listener != nil {
+		err = r.listener.Close()
+	}
 	for s := range r.open {
 		s.reset()
 	}
@@ -83,9 +108,9 @@
 	return err
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(l net.Listener) {
 	for {
-		c, err := r.listener.Accept()
+		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- /dev/null
+++ b/internal/world/net.go
@@ -0,0 +1,123 @@
+package world
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"ryeweir/internal/world/link"
+)
+
+// Memory is a Net in memory, which works inside testing/synctest. Hosts are the names of agents and nodes.
+type Memory struct{ *link.Network }
+
+var _ Net = Memory{}
+
+// Listen listens for a host at any port.
+func (m Memory) Listen(host string) (net.Listener, error) { return m.Network.Listen(host + ":0") }
+
+// Again listens at an address that was in use before.
+func (m Memory) Again(addr string) (net.Listener, error) { return m.Network.Listen(addr) }
+
+// Path shapes the way to a node, which all agents reach at its own address.
+func (m Memory) Path(agent, node, addr string, c link.Conditions) (string, error) {
+	m.Shape(agent, node, c)
+	return addr, nil
+}
+
+// Shape changes the conditions between two hosts.
+func (m Memory) Shape(agent, node string, c link.Conditions) { m.Both(agent, node, c) }
+
+// Down does nothing: where no listener is, a dial is refused.
+func (Memory) Down(string, bool) error { return nil }
+
+// Dialer returns the dial of a host.
+func (m Memory) Dialer(host string) Dial { return m.Network.Dialer(host) }
+
+// Close does nothing: nothing outlives the connections.
+func (Memory) Close() {}
+
+// Loopback is a Net on sockets of 127.0.0.1 at free ports. A path with conditions is a relay.
+type Loopback struct {
+	Plain bool // without relays: agents reach nodes at once
+
+	mu     sync.Mutex
+	relays map[[2]string]*link.Relay // by agent and node
+	made   uint64
+}
+
+var _ Net = (*Loopback)(nil)
+
+const anyPort = "127.0.0.1:0"
+
+// Listen listens at a free port.
+func (*Loopback) Listen(string) (net.Listener, error) { return net.Listen("tcp", anyPort) }
+
+// Again listens at a port that was in use before.
+func (*Loopback) Again(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// Path puts a relay between an agent and a node.
+func (n *Loopback) Path(agent, node, addr string, c link.Conditions) (string, error) {
+	if n.Plain {
+		return addr, nil
+	}
+	l, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.made++
+	r := link.NewRelay(l, addr, n.made)
+	r.Set(c, c)
+	if n.relays == nil {
+		n.relays = map[[2]string]*link.Relay{}
+	}
+	n.relays[[2]string{agent, node}] = r
+	return l.Addr().String(), nil
+}
+
+// Shape changes a relay's conditions.
+func (n *Loopback) Shape(agent, node string, c link.Conditions) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r := n.relays[[2]string{agent, node}]; r != nil {
+		r.Set(c, c)
+	}
+}
+
+// Down lets the relays to a node refuse connections.
+func (n *Loopback) Down(node string, on bool) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var all []error
+	for key, r := range n.relays {
+		if key[1] == node {
+			all = append(all, r.Refuse(on))
+		}
+	}
+	return errors.Join(all...)
+}
+
+// Dialer returns the machine's dial, for loopback addresses only.
+func (*Loopback) Dialer(string) Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(addr)
+		if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
+			return nil, errors.New("callers go to loopback addresses only, not to " + addr)
+		}
+		return new(net.Dialer).DialContext(ctx, network, addr)
+	}
+}
+
+// Close ends all relays.
+func (n *Loopback) Close() {
+	n.mu.Lock()
+	relays := n.relays
+	n.relays = nil
+	n.mu.Unlock()
+	for _, r := range relays {
+		r.Close()
+	}
+}
--- a/internal/world/node/load.go
+++ b/internal/world/node/load.go
@@ -76,15 +76,20 @@
 	n.completed, n.busyTime = 0, 0
 }
 
-// Probe asks for the load. false: the node takes no more probes for now, or there is no report yet.
-func (n *Node) Probe(now time.Duration) (Load, bool) {
+// Load is the latest report that can be seen; false when there is none yet.
+func (n *Node) Load() (Load, bool) {
+	return Load{Taken: n.reading.taken, Rate: n.reading.rate, Util: n.reading.util}, n.reading.taken > 0
+}
+
+// Probe books a probe; false: the node says nothing, or takes no more of them for now.
+func (n *Node) Probe(now time.Duration) bool {
 	n.step(now)
 	n.probes = slices.DeleteFunc(n.probes, func(t time.Duration) bool { return t <= now-time.Second })
 	if n.ProbeRate > 0 && float64(len(n.probes)) >= n.ProbeRate || n.Silent() {
-		return Load{}, false
+		return false
 	}
 	n.probes = append(n.probes, now)
 	n.figures.Probes++
 	n.overhead(n.ProbeWork)
-	return Load{Taken: n.reading.taken, Rate: n.reading.rate, Util: n.reading.util}, n.reading.taken > 0
+	return true
 }
--- a/internal/world/node/node.go
+++ b/internal/world/node/node.go
@@ -58,6 +58,15 @@
 	Chokes                                              int
 }
 
+// Plus adds up the figures of two lives.
+func (f Figures) Plus(g Figures) Figures {
+	f.Offered, f.Turned, f.Failed, f.Served = f.Offered+g.Offered, f.Turned+g.Turned, f.Failed+g.Failed, f.Served+g.Served
+	f.Expired, f.Cancelled, f.Probes = f.Expired+g.Expired, f.Cancelled+g.Cancelled, f.Probes+g.Probes
+	f.Handshakes, f.Chokes = f.Handshakes+g.Handshakes, f.Chokes+g.Chokes
+	f.Work, f.Wasted = f.Work+g.Work, f.Wasted+g.Wasted
+	return f
+}
+
 type item struct {
 	Work
 	left, used float64 // seconds on a core of speed 1
@@ -124,6 +133,9 @@
 // InFlight is what it holds: in work and waiting.
 func (n *Node) InFlight() int { return len(n.running) + len(n.queue) }
 
+// Waiting is how many requests wait for a slot.
+func (n *Node) Waiting() int { return len(n.queue) }
+
 // Warm is the share of its capacity that a node has for its age.
 func (n *Node) Warm() float64 {
 	age := n.now - n.Started
@@ -370,16 +382,29 @@
 	}
 }
 
-// Connect brings a new connection; false refuses it. A vanished node says nothing at all: see Silent.
-func (n *Node) Connect(now time.Duration) bool {
+// Welcome is what a node does with a new connection.
+type Welcome int
+
+// The welcomes.
+const (
+	Admitted Welcome = iota
+	Full             // its requests are turned away unseen
+	Refused          // it is reset at once
+)
+
+// Connect brings a new connection. One that is admitted ends with Disconnect.
+func (n *Node) Connect(now time.Duration) Welcome {
 	n.step(now)
-	if n.toppled || n.on(Flap) || n.ConnCap > 0 && n.conns >= n.ConnCap {
-		return false
+	switch {
+	case n.on(Flap):
+		return Refused
+	case n.ConnCap > 0 && n.conns >= n.ConnCap:
+		return Full
 	}
 	n.conns++
 	n.figures.Handshakes++
 	n.overhead(n.Handshake)
-	return true
+	return Admitted
 }
 
 // Disconnect tells that a connection has ended.
--- /dev/null
+++ b/internal/world/referee/referee.go
@@ -0,0 +1,302 @@
+// Package referee keeps the account of a run from what callers, nodes and discovery saw, each by itself. It never asks an
+// agent. It names the evidence for each breach of a rule.
+package referee
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Rules are the figures of the rules.
+type Rules struct {
+	DrainGrace time.Duration // after an agent was told, something new may still reach a draining or gone node
+	Slack      time.Duration // more of that, for sockets and the way to the node
+	MostKept   int           // breaches that are kept with their evidence; all are counted
+}
+
+// DefaultRules are those of the platform on sockets.
+func DefaultRules() Rules {
+	return Rules{DrainGrace: 250 * time.Millisecond, Slack: 50 * time.Millisecond, MostKept: 100}
+}
+
+// Rule names a rule.
+type Rule string
+
+// The rules.
+const (
+	Lost       Rule = "lost"        // the agent ended a request without a whole answer, or served what no node made
+	Duplicate  Rule = "duplicates"  // a request that must not be repeated ran twice
+	AfterDrain Rule = "after_drain" // new work came later than allowed after the agent was told
+	Toppled    Rule = "toppled"     // a cold node was pushed over
+)
+
+// Breach is a broken rule with its evidence.
+type Breach struct {
+	Rule    Rule          `json:"rule"`
+	At      time.Duration `json:"at_ns"`
+	Request string        `json:"request,omitempty"`
+	Agent   string        `json:"agent,omitempty"`
+	Node    string        `json:"node,omitempty"`
+	Text    string        `json:"text"`
+}
+
+// String is a line for people.
+func (b Breach) String() string {
+	return fmt.Sprintf("%s at %.3fs: %s", b.Rule, b.At.Seconds(), b.Text)
+}
+
+// Account is what came of a run's requests. A request is one try of a client: a client's own repeat is another.
+type Account struct {
+	Requests   int `json:"requests"`
+	Completed  int `json:"completed"`
+	Rejected   int `json:"rejected"`
+	Failed     int `json:"failed"`
+	Unanswered int `json:"unanswered"` // still owed an answer when their time was up
+	Lost       int `json:"lost"`
+	Duplicates int `json:"duplicates"`
+	AfterDrain int `json:"after_drain"`
+	Toppled    int `json:"toppled"`
+	Attempts   int `json:"attempts"` // requests that came to nodes
+	Effects    int `json:"effects"`  // times that a node began one
+	Strangers  int `json:"strangers"`
+}
+
+// Held reports whether all rules held.
+func (a Account) Held() bool {
+	return a.Lost == 0 && a.Duplicates == 0 && a.AfterDrain == 0 && a.Toppled == 0
+}
+
+// Balanced reports whether each request has exactly one end.
+func (a Account) Balanced() bool {
+	return a.Requests == a.Completed+a.Rejected+a.Failed+a.Unanswered+a.Lost
+}
+
+// Ask is a request as its caller sent it.
+type Ask struct {
+	ID     string
+	Agent  string // to whom; empty where a caller chooses nodes by itself
+	Once   bool   // must never run twice
+	At     time.Duration
+	Tenant string
+	Class  string
+}
+
+type request struct {
+	Ask
+	ended    bool
+	came     int
+	began    []place // where and when it took effect
+	made     []uint64
+	lastNode string
+}
+
+type place struct {
+	node string
+	at   time.Duration
+}
+
+type toldKey struct{ agent, node string }
+
+// Referee keeps the account. It is safe for concurrent use. It holds what it knows of each request of a run.
+type Referee struct {
+	rules Rules
+
+	mu       sync.Mutex
+	account  Account
+	breaches []Breach
+	requests map[string]*request
+	told     map[toldKey]time.Duration // since when a node drains or is gone, as told to an agent
+	excused  map[string][]span         // agents that were killed: what they had is nobody's fault
+}
+
+type span struct{ from, to time.Duration }
+
+// New returns a referee at the start of a run.
+func New(rules Rules) *Referee {
+	return &Referee{rules: rules, requests: map[string]*request{}, told: map[toldKey]time.Duration{}, excused: map[string][]span{}}
+}
+
+func (r *Referee) breach(b Breach) {
+	switch b.Rule {
+	case Lost:
+		r.account.Lost++
+	case Duplicate:
+		r.account.Duplicates++
+	case AfterDrain:
+		r.account.AfterDrain++
+	case Toppled:
+		r.account.Toppled++
+	}
+	if len(r.breaches) < r.rules.MostKept {
+		r.breaches = append(r.breaches, b)
+	}
+}
+
+// Asked tells that a caller sends a request.
+func (r *Referee) Asked(a Ask) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests[a.ID] = &request{Ask: a}
+	r.account.Requests++
+}
+
+// Known reports whether a caller sent a request under that id.
+func (r *Referee) Known(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.requests[id] != nil
+}
+
+// Told tells that discovery has written to an agent whether a node takes new work.
+func (r *Referee) Told(agent, node string, takes bool, at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := toldKey{agent, node}
+	if takes {
+		delete(r.told, key)
+	} else if _, ok := r.told[key]; !ok {
+		r.told[key] = at
+	}
+}
+
+// Killed tells that an agent was killed and came back: what it had open then is not held against it, nor what it was
+// told in its earlier life.
+func (r *Referee) Killed(agent string, from, to time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.excused[agent] = append(r.excused[agent], span{from, to})
+	for key := range r.told {
+		if key.agent == agent {
+			delete(r.told, key)
+		}
+	}
+}
+
+// Came tells that a request reached a node; first is when its first byte did.
+func (r *Referee) Came(id, node string, first time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := r.requests[id]
+	r.account.Attempts++
+	if q == nil {
+		r.account.Strangers++
+		return
+	}
+	q.came++
+	q.lastNode = node
+	told, drains := r.told[toldKey{q.Agent, node}]
+	if late := first - told - r.rules.DrainGrace - r.rules.Slack; drains && q.Agent != "" && late > 0 {
+		r.breach(Breach{AfterDrain, first, id, q.Agent, node, fmt.Sprintf(
+			"%s sent %s to %s %.3fs after it was told (at %.3fs) that this takes no new work", q.Agent, id, node, (first - told).Seconds(), told.Seconds())})
+	}
+}
+
+// Began tells that a node began a request: from then on it may have taken effect there.
+func (r *Referee) Began(id, node string, at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.account.Effects++
+	q := r.requests[id]
+	if q == nil {
+		return
+	}
+	q.began = append(q.began, place{node, at})
+	if q.Once && len(q.began) > 1 {
+		first := q.began[0]
+		r.breach(Breach{Duplicate, at, id, q.Agent, node, fmt.Sprintf(
+			"%s, which must not run twice, ran on %s at %.3fs and again on %s at %.3fs, sent by %s", id, first.node, first.at.Seconds(), node, at.Seconds(), q.Agent)})
+	}
+}
+
+// Made tells what a node answered: a sum over the body of a 200.
+func (r *Referee) Made(id string, sum uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if q := r.requests[id]; q != nil {
+		q.made = append(q.made, sum)
+	}
+}
+
+// Toppled tells that a cold node fell over.
+func (r *Referee) Toppled(node string, at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.breach(Breach{Rule: Toppled, At: at, Node: node, Text: fmt.Sprintf("%s was cold and got more than it could bear", node)})
+}
+
+// End is how a request ended for its caller.
+type End int
+
+// The ends of a request.
+const (
+	Served  End = iota // a 200
+	Refused            // 429 or 503
+	Failed             // any other answer, or one that broke off so that the caller could tell
+	Nothing            // no answer when the time was up
+	Closed             // the connection ended with no answer begun
+	Unsent             // it never went out whole
+)
+
+// Ended tells how a request ended; sum is that of a served body. It returns false when the request had ended before, which
+// callers must not do.
+func (r *Referee) Ended(id string, end End, sum uint64, at time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := r.requests[id]
+	if q == nil || q.ended {
+		return false
+	}
+	q.ended = true
+	switch end {
+	case Served:
+		if !slices.Contains(q.made, sum) {
+			r.breach(Breach{Lost, at, id, q.Agent, q.lastNode, fmt.Sprintf(
+				"%s served %s with what no node made for it (%d attempts came to nodes)", q.Agent, id, q.came)})
+			return true
+		}
+		r.account.Completed++
+	case Refused:
+		r.account.Rejected++
+	case Nothing:
+		r.account.Unanswered++
+	case Closed:
+		// One that was passed on was taken; of one that was not, nobody can say that the agent had read it.
+		if q.came > 0 && !r.isExcused(q, at) {
+			r.breach(Breach{Lost, at, id, q.Agent, q.lastNode, fmt.Sprintf(
+				"%s closed the connection of %s without an answer, after sending it on to %s", q.Agent, id, q.lastNode)})
+			return true
+		}
+		r.account.Failed++
+	default:
+		r.account.Failed++
+	}
+	return true
+}
+
+func (r *Referee) isExcused(q *request, at time.Duration) bool {
+	return slices.ContainsFunc(r.excused[q.Agent], func(s span) bool { return q.At <= s.to && at >= s.from })
+}
+
+// SentOn reports whether a request has come to a node.
+func (r *Referee) SentOn(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := r.requests[id]
+	return q != nil && q.came > 0
+}
+
+// Account returns the account so far. Requests without an end are in Requests only.
+func (r *Referee) Account() Account {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.account
+}
+
+// Breaches returns the breaches that were kept, in the order of their discovery.
+func (r *Referee) Breaches() []Breach {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.breaches)
+}
--- /dev/null
+++ b/internal/world/world.go
@@ -0,0 +1,348 @@
+package world
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"ryeweir/internal/world/backend"
+	"ryeweir/internal/world/callers"
+	"ryeweir/internal/world/discovery"
+	"ryeweir/internal/world/link"
+	"ryeweir/internal/world/node"
+	"ryeweir/internal/world/referee"
+)
+
+// What all days have alike.
+const (
+	IdleLimit      = 10 * time.Second       // nodes close connections that are idle for so long
+	ConnectTimeout = 100 * time.Millisecond // a connection that is not up by then has failed
+	drainSlack     = 100 * time.Millisecond // for the way through relays under load, in the rule on drains
+)
+
+// Dial opens a connection, as net.Dialer's DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Net is the network that a world stands on: the machine's loopback, or one in memory.
+type Net interface {
+	// Listen listens for a host; addresses are the network's own choice.
+	Listen(host string) (net.Listener, error)
+	// Again listens at an address that has been in use before.
+	Again(addr string) (net.Listener, error)
+	// Path is the address at which an agent reaches a node, under conditions that Shape changes later.
+	Path(agent, node, addr string, c link.Conditions) (string, error)
+	// Shape changes the conditions between an agent and a node, in both directions.
+	Shape(agent, node string, c link.Conditions)
+	// Down says that a node's process is down, or up again: connections to it are refused.
+	Down(node string, on bool) error
+	// Dialer returns the dial of a host.
+	Dialer(host string) Dial
+	// Close gives back what the paths hold.
+	Close()
+}
+
+// World is a day's emulator, running.
+type World struct {
+	Day     *Day
+	Net     Net
+	Epoch   time.Time
+	Referee *referee.Referee
+
+	ctx      context.Context
+	stop     context.CancelFunc
+	disco    *discovery.Server
+	discoAt  []string
+	backends []*backend.Backend
+	all      sync.WaitGroup
+
+	mu    sync.Mutex
+	ids   []string             // of the nodes' present lives
+	addrs []string             // and where they listen
+	paths map[[2]string]string // agent and a node's address: where the agent reaches it
+	lives int
+	begin time.Duration // when the day began
+	marks []Mark
+	err   error
+}
+
+// Mark is something that happened, for reports.
+type Mark struct {
+	At   time.Duration `json:"at_ns"`
+	To   time.Duration `json:"to_ns"`
+	Node string        `json:"node"`
+	Text string        `json:"text"`
+}
+
+// Start starts a day's nodes and discovery. strict lets nodes turn away ids that no caller of this process sent.
+func Start(ctx context.Context, day *Day, on Net, strict bool) (*World, error) {
+	rules := referee.DefaultRules()
+	rules.Slack += drainSlack
+	ctx, stop := context.WithCancel(ctx)
+	w := &World{Day: day, Net: on, Epoch: time.Now(), Referee: referee.New(rules), ctx: ctx, stop: stop, paths: map[[2]string]string{}}
+	w.disco = discovery.New(discovery.Config{Rate: day.Spec.List.Rate, Rewrite: w.rewrite,
+		Told: func(agent, node string, takes bool, at time.Time) {
+			w.Referee.Told(agent, node, takes, at.Sub(w.Epoch))
+		}})
+	if err := w.start(strict); err != nil {
+		w.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (w *World) start(strict bool) error {
+	for i, spec := range w.Day.Nodes {
+		first := true
+		host := spec.ID
+		w.ids, w.addrs = append(w.ids, spec.ID), append(w.addrs, "")
+		cfg := backend.Config{Epoch: w.Epoch, Watch: w.Referee, Strict: strict, IdleFor: IdleLimit, Via: "pull", Fields: []string{"qps", "util"}}
+		cfg.Listen = func() (net.Listener, error) {
+			if !first {
+				return w.Net.Again(w.addrs[i])
+			}
+			first = false
+			return w.Net.Listen(host)
+		}
+		b, err := backend.Start(w.ctx, cfg, spec, w.Day.Seed*1000+uint64(i))
+		if err != nil {
+			return err
+		}
+		w.backends = append(w.backends, b)
+		w.addrs[i] = b.Addr()
+		for a, agent := range w.Day.Agents {
+			at, err := w.Net.Path(agent, host, b.Addr(), w.Day.LinkTo(w.Day.AgentZone(a), spec.Zone))
+			if err != nil {
+				return fmt.Errorf("the path from %s to %s: %w", agent, spec.ID, err)
+			}
+			w.paths[[2]string{agent, b.Addr()}] = at
+		}
+		w.disco.Set(w.entry(i, spec, discovery.Ready), 0)
+	}
+	for _, agent := range w.Day.Agents {
+		l, err := w.Net.Listen("discovery")
+		if err != nil {
+			return err
+		}
+		w.discoAt = append(w.discoAt, l.Addr().String())
+		w.disco.Serve(l, agent)
+	}
+	return nil
+}
+
+// rewrite gives an agent the address at which it reaches a node.
+func (w *World) rewrite(agent string, e discovery.Entry) discovery.Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if at, ok := w.paths[[2]string{agent, e.Addr}]; ok {
+		e.Addr = at
+	}
+	return e
+}
+
+func (w *World) entry(i int, s node.Spec, state string) discovery.Entry {
+	e := discovery.Entry{ID: s.ID, Addr: w.addrs[i], Zone: s.Zone, Kind: s.Kind, Cell: i / 8, State: state, Weight: 1}
+	if s.Started >= 0 {
+		e.StartedMS = w.Epoch.Add(s.Started).UnixMilli()
+	}
+	return e
+}
+
+// Discovery is where an agent finds discovery.
+func (w *World) Discovery(agent int) string { return w.discoAt[agent] }
+
+// Known is the list as it stands for an agent.
+func (w *World) Known(agent int) discovery.List {
+	l := w.disco.Snapshot()
+	for i, e := range l.Servers {
+		l.Servers[i] = w.rewrite(w.Day.Agents[agent], e)
+	}
+	return l
+}
+
+// Now is the time since the day began.
+func (w *World) Now() time.Duration { return time.Since(w.Epoch) }
+
+// Play begins the day: it brings the troubles, each at its time, until they are over or the world is closed. Agents should
+// be ready by then.
+func (w *World) Play() {
+	begin := w.Now()
+	w.mu.Lock()
+	w.begin = begin
+	w.mu.Unlock()
+	for _, p := range w.Day.Troubles {
+		p.From, p.To = p.From+begin, p.To+begin
+		w.all.Go(func() { w.befall(p) })
+	}
+	for _, o := range w.Day.Spec.Outages {
+		w.all.Go(func() {
+			if !w.until(begin + o.From.D()) {
+				return
+			}
+			w.mark(begin+o.From.D(), begin+o.To.D(), "discovery", "outage")
+			w.disco.Outage(true)
+			if w.until(begin + o.To.D()) {
+				w.disco.Outage(false)
+			}
+		})
+	}
+}
+
+// until waits for a time of the world; false says that the world has closed.
+func (w *World) until(at time.Duration) bool {
+	t := time.NewTimer(at - w.Now())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-w.ctx.Done():
+		return false
+	}
+}
+
+// mark notes what begins, by the time of the day.
+func (w *World) mark(from, to time.Duration, node, text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.marks = append(w.marks, Mark{from - w.begin, to - w.begin, node, text})
+}
+
+// Marks are the troubles that have begun, in the order of their beginning.
+func (w *World) Marks() []Mark {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.marks)
+}
+
+func (w *World) fail(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err == nil {
+		w.err = err
+	}
+}
+
+// Err is what kept the world from playing its day.
+func (w *World) Err() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
+
+// befall plays a trouble.
+func (w *World) befall(p Placed) {
+	b, spec := w.backends[p.Node], w.Day.Nodes[p.Node]
+	list := w.Day.Spec.List
+	switch p.Kind {
+	case node.Drain, node.Restart, node.Replace, node.Vanish:
+	default:
+		b.Trouble(p.Trouble)
+	}
+	if !w.until(p.From) {
+		return
+	}
+	w.mark(p.From, p.To, spec.ID, string(p.Kind))
+	switch p.Kind {
+	case node.Drain: // told at once where the list is quick; ends in its death
+		b.Trouble(p.Trouble)
+		w.disco.Set(w.entry(p.Node, spec, discovery.Terminating), list.Notice.D())
+		if w.until(p.To) {
+			w.kill(p.Node)
+			w.disco.Set(w.entry(p.Node, spec, discovery.Gone), list.Notice.D())
+		}
+	case node.Restart, node.Replace:
+		w.kill(p.Node)
+		if list.Notice.D() < p.To-p.From+list.Add.D() {
+			w.disco.Set(w.entry(p.Node, spec, discovery.Gone), list.Notice.D())
+		}
+		if !w.until(p.To) {
+			return
+		}
+		w.mu.Lock()
+		w.lives++
+		if p.Kind == node.Replace {
+			spec.ID = fmt.Sprintf("%s-%d", spec.ID, w.lives)
+		}
+		w.ids[p.Node] = spec.ID
+		w.mu.Unlock()
+		spec.Started = w.Now()
+		if err := b.Restart(spec, w.Day.Seed*1000+uint64(len(w.backends)+p.Node)); err != nil {
+			w.fail(err)
+			return
+		}
+		if err := w.Net.Down(w.Day.Nodes[p.Node].ID, false); err != nil {
+			w.fail(err)
+			return
+		}
+		w.disco.Set(w.entry(p.Node, spec, discovery.Ready), list.Add.D())
+	case node.Vanish:
+		b.Trouble(p.Trouble)
+		w.shape(p.Node, true)
+		if w.until(p.To) {
+			w.shape(p.Node, false)
+		}
+	}
+}
+
+// kill ends a node's process.
+func (w *World) kill(i int) {
+	if err := w.Net.Down(w.Day.Nodes[i].ID, true); err != nil {
+		w.fail(err)
+	}
+	w.backends[i].Kill()
+}
+
+// shape cuts a node off from all agents, or brings it back.
+func (w *World) shape(i int, cut bool) {
+	for a, agent := range w.Day.Agents {
+		c := w.Day.LinkTo(w.Day.AgentZone(a), w.Day.Nodes[i].Zone)
+		c.Cut = cut
+		w.Net.Shape(agent, w.Day.Nodes[i].ID, c)
+	}
+}
+
+// States is what the nodes are at present.
+func (w *World) States() []backend.State {
+	out := make([]backend.State, len(w.backends))
+	for i, b := range w.backends {
+		out[i] = b.State()
+	}
+	return out
+}
+
+// Addrs is where the nodes listen, in the order of States.
+func (w *World) Addrs() []string { return slices.Clone(w.addrs) }
+
+// Discovered counts discovery's calls.
+func (w *World) Discovered() discovery.Figures { return w.disco.Figures() }
+
+// Call sends what the day has planned by a route, and returns what came of it, by the time of the day. Play comes first.
+func (w *World) Call(ctx context.Context, route callers.Route, direct bool, done func(referee.Call)) ([]referee.Call, callers.Figures) {
+	w.mu.Lock()
+	start := w.begin
+	w.mu.Unlock()
+	plan := slices.Clone(w.Day.Plan)
+	for i := range plan {
+		plan[i].At += start
+	}
+	calls, figures := callers.Run(ctx, callers.Config{Plan: plan, Classes: w.Day.Classes, Tenants: w.Day.Tenants, Habits: w.Day.Habits,
+		Route: route, Referee: w.Referee, Epoch: w.Epoch, Direct: direct, Answer: w.Day.Spec.Answer, Body: w.Day.Spec.Body,
+		Slow: w.Day.Spec.Clients.Slow, Prefix: w.Day.Seed, Done: done})
+	for i := range calls {
+		calls[i].At -= start
+	}
+	return calls, figures
+}
+
+// Close ends the world and waits for all of it.
+func (w *World) Close() {
+	w.stop()
+	w.all.Wait()
+	w.disco.Close()
+	for _, b := range w.backends {
+		b.Close()
+	}
+	w.Net.Close()
+}
