--- a/internal/agent/scenes_test.go
+++ b/internal/agent/scenes_test.go
@@ -194,4 +194,176 @@
 	return world.TroubleSpec{Kind: string(kind), Nodes: nodes, From: sec(from), To: sec(to), Size: size}
 }
 
-func TestSceneQuiet(t *testing.T) { scene{service: 0.97}.play(t) }
+// add puts troubles into a day.
+func add(troubles ...world.TroubleSpec) func(*world.DaySpec) {
+	return func(d *world.DaySpec) { d.Troubles = append(d.Troubles, troubles...) }
+}
+
+func TestScenes(t *testing.T) {
+	flap := trouble(node.Flap, 2, 2, 9, 0)
+	flap.On, flap.Off = sec(0.7), sec(0.9)
+	neighbour := trouble(node.Neighbour, 3, 2, 10, 0.7)
+	neighbour.On, neighbour.Off = sec(2), sec(1.5)
+	bad := link.Conditions{Delay: 150 * time.Millisecond, Jitter: 20 * time.Millisecond, Loss: 0.1, Resend: 50 * time.Millisecond}
+	for name, sc := range map[string]scene{
+		"quiet":                    {service: 0.97},
+		"a slow node":              {day: add(trouble(node.Slow, 1, 2, 10, 8)), service: 0.85},
+		"fast errors":              {day: add(trouble(node.FastFail, 1, 2, 10, 0.9)), service: 0.85},
+		"a neighbour":              {day: add(neighbour), service: 0.8},
+		"a node vanishes":          {day: add(trouble(node.Vanish, 1, 3, 9, 0)), service: 0.85},
+		"resets":                   {day: add(trouble(node.ResetConn, 5, 2, 10, 0.1)), service: 0.8, verify: effects},
+		"idle closes":              {day: add(trouble(node.IdleClose, 5, 1, 12, 1)), service: 0.95, verify: effects},
+		"spoilt answers":           {day: add(trouble(node.Spoil, 5, 2, 10, 0.1)), service: 0.8, verify: effects},
+		"oversized answers":        {day: add(trouble(node.Oversize, 5, 2, 10, 0.1)), service: 0.8, verify: effects},
+		"late answers":             {day: add(trouble(node.Late, 2, 2, 8, 1)), service: 0.6},
+		"flapping":                 {day: add(flap), service: 0.75},
+		"a drain":                  {day: add(trouble(node.Drain, 2, 3, 8, 0)), service: 0.9},
+		"a restart":                {day: add(trouble(node.Restart, 1, 3, 5, 0)), service: 0.9},
+		"a replacement":            {day: add(trouble(node.Replace, 2, 3, 4, 0)), service: 0.85},
+		"a rolling restart":        {day: add(trouble(node.Restart, 1, 1, 3, 0), trouble(node.Restart, 1, 4, 6, 0), trouble(node.Restart, 1, 7, 9, 0)), service: 0.8},
+		"troubles that overlap":    {day: add(trouble(node.Slow, 1, 2, 10, 5), trouble(node.FastFail, 1, 4, 9, 0.8), trouble(node.Drain, 1, 5, 8, 0)), service: 0.6},
+		"overload":                 {day: func(d *world.DaySpec) { d.Load = 2.2 }, service: 0.25, verify: refusedAtOnce},
+		"a burst":                  {day: func(d *world.DaySpec) { d.Shape, d.Swing, d.Period = "burst", 3, sec(4) }, service: 0.6},
+		"all cold":                 {day: func(d *world.DaySpec) { coldNodes(d); d.Load = 0.2 }, service: 0.3},
+		"rude and slow callers":    {day: func(d *world.DaySpec) { d.Clients.Slow = 0.2 }, during: rude, service: 0.7},
+		"large answers":            {day: func(d *world.DaySpec) { d.Answer, d.Load, d.Agents = 300<<10, 0.1, 1 }, service: 0.9},
+		"large requests":           {day: func(d *world.DaySpec) { d.Body, d.Load, d.Agents = 200<<10, 0.1, 1 }, service: 0.9},
+		"discovery is down":        {day: outage(2, 9), service: 0.95},
+		"a death no list tells":    {day: func(d *world.DaySpec) { outage(2, 9)(d); add(trouble(node.Restart, 1, 3, 11, 0))(d) }, service: 0.85},
+		"discovery is slow":        {day: func(d *world.DaySpec) { d.List.Rate = 3; add(trouble(node.Drain, 1, 3, 8, 0))(d) }, service: 0.9},
+		"nothing reaches a node":   {during: func(s *stage) { s.oneWay(true) }, service: 0.85},
+		"no answer comes back":     {during: func(s *stage) { s.oneWay(false) }, service: 0.85, verify: effects},
+		"all connections break":    {during: breaks, service: 0.85, verify: effects},
+		"lossy links to nodes":     {day: func(d *world.DaySpec) { d.Net.Loss = 0.02 }, service: 0.5, verify: effects},
+		"callers on poor links":    {day: func(d *world.DaySpec) { d.Load = 0.1 }, during: func(s *stage) { s.clientsOn(bad) }, verify: effects},
+		"operators drain an agent": {during: operatorDrain, service: 0.9},
+		"an agent ends":            {during: ends, verify: ended},
+		"an agent is killed":       {during: killed, service: 0.6},
+		"few descriptors":          {limits: func(l *world.Limits) { l.Sockets = 128 }, service: 0.9},
+		"a tenth of the memory":    {day: func(d *world.DaySpec) { d.Answer, d.Load = 200<<10, 0.1 }, limits: func(l *world.Limits) { l.MemoryMB = 20 }, service: 0.9},
+	} {
+		t.Run(name, sc.play)
+	}
+}
+
+// effects: what may not run twice has not, though attempts broke off; and something did break.
+func effects(t *testing.T, s *stage) {
+	if a := s.Referee.Account(); a.Effects == 0 || a.Duplicates > 0 || a.Completed == 0 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// refusedAtOnce: what has no room is told so, rather than left without an answer.
+func refusedAtOnce(t *testing.T, s *stage) {
+	if a := s.Referee.Account(); a.Rejected < a.Requests/10 || a.Unanswered > a.Requests/10 {
+		t.Errorf("%+v", a)
+	}
+}
+
+func coldNodes(d *world.DaySpec) {
+	for i := range d.Kinds {
+		d.Kinds[i].Cold = true
+	}
+}
+
+func outage(from, to float64) func(*world.DaySpec) {
+	return func(d *world.DaySpec) { d.Outages = []world.OutageSpec{{From: sec(from), To: sec(to)}} }
+}
+
+// rude lets clients come that send no requests.
+func rude(s *stage) {
+	ctx, stop := context.WithTimeout(context.Background(), 8*time.Second)
+	defer stop()
+	f := callers.Rude(ctx, s.network.Dialer("stranger"), s.addrs[0], 40)
+	if f.Clients < 100 || f.Served > 0 || f.Ignored > 0 {
+		s.t.Errorf("rude clients: %+v", f)
+	}
+}
+
+// oneWay cuts one direction between the agents and a node for some seconds.
+func (s *stage) oneWay(forth bool) {
+	time.Sleep(2 * time.Second)
+	for _, cut := range []bool{true, false} {
+		for _, a := range s.Day.Agents {
+			c := link.Conditions{Delay: time.Millisecond, Cut: cut}
+			if forth {
+				s.network.Set(a, "node-01", c)
+			} else {
+				s.network.Set("node-01", a, c)
+			}
+		}
+		time.Sleep(5 * time.Second)
+	}
+}
+
+// breaks resets all connections between agents and nodes, three times.
+func breaks(s *stage) {
+	for range 3 {
+		time.Sleep(2 * time.Second)
+		for _, a := range s.Day.Agents {
+			for _, n := range s.Day.Nodes {
+				s.network.ResetBetween(a, n.ID)
+			}
+		}
+	}
+}
+
+func (s *stage) clientsOn(c link.Conditions) {
+	for _, a := range s.Day.Agents {
+		s.network.Both("app-"+a, a, c)
+	}
+}
+
+// operator makes a call at an agent's second address.
+func (s *stage) operator(agent int, path string) int {
+	client := http.Client{Transport: &http.Transport{DialContext: s.network.Dialer("operator"), DisableKeepAlives: true}, Timeout: time.Second}
+	resp, err := client.Post("http://"+s.Day.Agents[agent]+":9000"+path, "", nil)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// operatorDrain drains an agent for some seconds: it says that it is not ready and serves those who come all the same.
+func operatorDrain(s *stage) {
+	time.Sleep(2 * time.Second)
+	if code := s.operator(0, "/v1/agent/drain"); code/100 != 2 {
+		s.t.Errorf("drain: %d", code)
+	}
+	if code := s.get(s.addrs[0], "/ready"); code/100 == 2 {
+		s.t.Errorf("ready says %d in a drain", code)
+	}
+	time.Sleep(3 * time.Second)
+	if code := s.operator(0, "/v1/agent/activate"); code/100 != 2 {
+		s.t.Errorf("activate: %d", code)
+	}
+	if code := s.get(s.addrs[0], "/ready"); code != http.StatusOK {
+		s.t.Errorf("ready says %d after the drain", code)
+	}
+}
+
+// ends lets an agent end in order, as SIGTERM does, while its callers go on.
+func ends(s *stage) {
+	time.Sleep(4 * time.Second)
+	s.stop[0]()
+}
+
+// ended: what the agent had taken was answered; what came later found nobody.
+func ended(t *testing.T, s *stage) {
+	if a := s.Referee.Account(); a.Failed == 0 || a.Unanswered > 20 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// killed lets an agent vanish with its connections and start anew.
+func killed(s *stage) {
+	time.Sleep(4 * time.Second)
+	from := s.Now()
+	s.network.Kill(s.Day.Agents[0])
+	s.stop[0]()
+	s.Referee.Killed(s.Day.Agents[0], from, s.Now()+50*time.Millisecond)
+	<-s.ended[0]
+	s.start(0, world.DefaultLimits())
+	s.ready(0)
+}
