--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -35,6 +35,7 @@
 // What nobody answers is ended: as a refusal, which says when to come back, only
 // where trying again is harmless.
 func TestSilentBackend(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, silent)
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
 	for method, want := range map[string]struct {
@@ -86,6 +87,7 @@
 
 // Bad input gets a plain 4xx, which unlike 429 and 503 promises nothing, and goes to no backend.
 func TestBadInput(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, says(servedText))
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
 	with := func(name, value string) func(*http.Request) {
@@ -255,6 +257,7 @@
 // After the signal to end, new connections still come and are served, each answer closes its connection, and
 // what was taken before is answered too.
 func TestDrain(t *testing.T) {
+	t.Parallel()
 	release := make(chan struct{})
 	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool {
 		if n == 1 {
@@ -293,6 +296,7 @@
 // Clients that go on through a drain lose nothing: a kept connection may close between requests, which a client
 // answers with a new connection, but each request gets an answer.
 func TestDrainLosesNothing(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, says(servedText))
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 3*time.Second)
 	ctx, enough := context.WithTimeout(context.Background(), 400*time.Millisecond)
@@ -328,6 +332,7 @@
 
 // Before it holds a list the agent is not ready, and a list that it had in an earlier life is one.
 func TestReadiness(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, says(servedText))
 	for known, want := range map[string]int{
 		"null": http.StatusServiceUnavailable,
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -86,6 +86,7 @@
 
 // An outcome says exactly what may have run: the module resends by it, and effects must not repeat.
 func TestOutcomes(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		script func(net.Conn, *http.Request, int) bool
 		want   logic.Result
@@ -167,6 +168,7 @@
 }
 
 func TestSilenceTimesOut(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, silent)
 	f := newFixture(t, b.Addr().String(), 100)
 	if out := f.make(f.attempt(time.Second)); out.result != logic.TimedOut {
@@ -384,6 +386,7 @@
 
 // A dial that is never up fails in the connect time-out, and meanwhile holds up nothing else.
 func TestDeadDial(t *testing.T) {
+	t.Parallel()
 	dead, fine := newBackend(t, says(servedText)), newBackend(t, says(servedText))
 	f := newFixture(t, dead.Addr().String(), 100)
 	f.pool.connectIn = time.Second
--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -78,6 +78,7 @@
 
 // Whoever sends no whole request is answered or closed within the 3 s that are owed, whatever he says of his time.
 func TestSlowClientsAreClosed(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, says(servedText))
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
 	if headerTimeout >= 3*time.Second || bodyStall >= 3*time.Second {
@@ -141,6 +142,7 @@
 
 // A connection with no request open closes after a while, so that those kept for good do not pile up.
 func TestIdleClientsAreClosed(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, says(servedText))
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
 	c := a.dial(t)
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -64,6 +64,7 @@
 
 // Watches go on back to back: a later call would be a new watch, and what changed meanwhile might be missed.
 func TestWatchesGoOn(t *testing.T) {
+	t.Parallel()
 	f := newFakeDiscovery(t, 1, entryText("s-1", "127.0.0.1:1", "Ready", 0))
 	d, events := follower(t, f.Addr().String(), io.Discard)
 	follow(t, d)
@@ -76,6 +77,7 @@
 
 // In an outage the last list stands; the silence is noticed, and the first list after it is a whole one.
 func TestOutage(t *testing.T) {
+	t.Parallel()
 	f := newFakeDiscovery(t, 1, entryText("s-1", "127.0.0.1:1", "Ready", 0))
 	var log lockedBuffer
 	d, events := follower(t, f.Addr().String(), &log)
@@ -139,6 +141,7 @@
 // After a restart discovery's list comes before the known one, which may name what has gone; the known one is used
 // where discovery does not answer, and any list from discovery is newer then, whatever its version.
 func TestKnownListIsTheSecondChoice(t *testing.T) {
+	t.Parallel()
 	f := newFakeDiscovery(t, 3, entryText("s-new", "127.0.0.1:1", "Ready", 0))
 	known, err := parseList([]byte(listText(41, true, entryText("s-old", "127.0.0.1:2", "Ready", 0))))
 	if err != nil {
--- a/internal/agent/figures_test.go
+++ b/internal/agent/figures_test.go
@@ -31,6 +31,7 @@
 
 // The figures tell of each final answer as its client saw it, and of each attempt that went out whole.
 func TestFigures(t *testing.T) {
+	t.Parallel()
 	hold := make(chan struct{})
 	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool {
 		switch r.URL.Path {
--- a/internal/agent/phase_test.go
+++ b/internal/agent/phase_test.go
@@ -10,6 +10,7 @@
 // An operator's drain says no at once, closes connections as they are answered or stand idle, still serves who comes,
 // and ends when the operator says so.
 func TestOperatorsDrain(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, says(servedText))
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
 	idle := a.dial(t)
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -73,6 +73,7 @@
 // On SIGHUP the file's discovery is followed, though the environment still names the first one and the new one's
 // versions start lower. The old one's silence must not hold that up: its open call is dropped.
 func TestReloadMovesDiscovery(t *testing.T) {
+	t.Parallel()
 	first := newBackend(t, says("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nold!"))
 	second := newBackend(t, says("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnew!"))
 	old := newFakeDiscovery(t, 41, entryText("s-1", first.Addr().String(), "Ready", 0))
@@ -93,6 +94,7 @@
 
 // A file that can't be used leaves all as it was and is logged in a line.
 func TestBadReloadKeepsTheOldConfiguration(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, says(servedText))
 	d := newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0))
 	a := startReloading(t, d.Addr().String())
--- a/internal/agent/streaming_test.go
+++ b/internal/agent/streaming_test.go
@@ -31,6 +31,7 @@
 
 // Bodies of all sizes go both ways unchanged, with a length and in chunks, and together may be far over the budget.
 func TestLongBodies(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{heldBody - 1, heldBody, heldBody + 1, 1 << 20} {
 		for _, chunked := range []bool{false, true} {
 			text := longText(size)
@@ -65,6 +66,7 @@
 
 // A body over the limit is an error, whether its length says so or its chunks show it.
 func TestTooLongBody(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, says(servedText))
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
 	for _, length := range []int64{maxBody + 1, -1} { // chunks show it only at the end
@@ -86,6 +88,7 @@
 
 // A long answer is passed on while it comes: its beginning is there before its end is written.
 func TestAnswerFlows(t *testing.T) {
+	t.Parallel()
 	goOn := make(chan struct{})
 	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n5\r\nfirst\r\n")
@@ -178,6 +181,7 @@
 // The client's time runs from its request's last byte: one that takes longer to come in than its answer may take is
 // served, whether it is held or flows.
 func TestTimeRunsFromTheLastByte(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, says(servedText))
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
 	for _, piece := range []int{100, heldBody} {
@@ -193,6 +197,7 @@
 
 // A body that stops coming is given up, and an unsafe request is not begun by a backend.
 func TestStalledUpload(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, says(servedText))
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
 	c := a.dial(t)
@@ -214,6 +219,7 @@
 // When a backend breaks in the middle of a body that is not held, the request never ran, but can't be sent again: it is
 // refused at once, and the client, which goes on sending, finds the answer.
 func TestBackendBreaksDuringUpload(t *testing.T) {
+	t.Parallel()
 	l := listen(t)
 	go func() {
 		for {
@@ -271,6 +277,7 @@
 
 // When all ends, attempts that wait for a client to read or to send do not hold it up.
 func TestEndsWithFlowsOpen(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n")
 		_, err := io.Copy(c, io.LimitReader(endless{}, 30000000))
