--- /dev/null
+++ b/cmd/ryeweir/demo.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/term"
+
+	"ryeweir/internal/lab"
+	"ryeweir/internal/world/referee"
+)
+
+func demoCommand() *cobra.Command {
+	var seconds int
+	var seed uint64
+	var file string
+	c := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a world, two agents and callers in one go, and say whether the rules held",
+		Long: "Ten order nodes of two kinds in three zones, discovery, two agents and about 290 requests a second, all on free\n" +
+			"loopback ports. On the way a node turns slow, another fails fast and a third drains. Ctrl-C ends it early. The\n" +
+			"exit code is 1 if a rule broke.",
+		Example: "  ryeweir demo --seconds 20 --json figures.json",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if seconds < 3 || seconds > 600 {
+				return usage(fmt.Errorf("--seconds must be from 3 to 600, not %d", seconds))
+			}
+			ctx, stop := interruptible(c.Context())
+			defer stop()
+			return demo(ctx, c.OutOrStdout(), time.Duration(seconds)*time.Second, seed, file)
+		},
+	}
+	c.Flags().IntVar(&seconds, "seconds", 20, "how long callers send")
+	c.Flags().Uint64Var(&seed, "seed", 1, "what is drawn by chance follows from it")
+	c.Flags().StringVar(&file, "json", "", "write the figures to this file")
+	return c
+}
+
+// interruptible is a context that Ctrl-C and SIGTERM end; a second Ctrl-C kills the program.
+func interruptible(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
+
+func demo(ctx context.Context, out io.Writer, length time.Duration, seed uint64, file string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	spec := lab.DemoDay(length)
+	day, err := spec.Draw(seed)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d order nodes, %d agents, %.0f requests a second for %v (%d in all)\n", len(day.Nodes), len(day.Agents), day.Rate, length, len(day.Plan))
+	s := newScreen(out)
+	o, err := lab.Play(ctx, day, lab.Arm{Name: "agent", Command: []string{self, "agent"}}, s.show)
+	if err != nil {
+		return err
+	}
+	if file != "" {
+		if err := writeJSON(file, o); err != nil {
+			return err
+		}
+	}
+	printOutcome(out, o)
+	if !o.Account.Held() {
+		return errSaid
+	}
+	return nil
+}
+
+// writeJSON writes a value to a file, whole or not at all.
+func writeJSON(file string, v any) error {
+	text, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return fmt.Errorf("figures: %w", err)
+	}
+	if err := os.WriteFile(file+".part", append(text, '\n'), 0o644); err != nil {
+		os.Remove(file + ".part")
+		return fmt.Errorf("writing the figures: %w", err)
+	}
+	return os.Rename(file+".part", file)
+}
+
+// printOutcome prints the account and the verdict.
+func printOutcome(out io.Writer, o lab.Outcome) {
+	a := o.Account
+	fmt.Fprintf(out, "\nrequests %d  completed %d  rejected %d  failed %d  unanswered %d\n", a.Requests, a.Completed, a.Rejected, a.Failed, a.Unanswered)
+	fmt.Fprintf(out, "lost %d  duplicates %d  after_drain %d  toppled %d\n", a.Lost, a.Duplicates, a.AfterDrain, a.Toppled)
+	fmt.Fprintf(out, "service %.3f  worst 10 s %.3f  attempts per request %.3f  wasted work %.1f%%  agents' CPU %.0f us a request\n",
+		o.Whole, o.WorstWindow, o.Attempts, 100*o.Waste, o.CPU)
+	for name, p := range o.Latency {
+		if name != "all" {
+			fmt.Fprintf(out, "%-14s p50 %.1f ms  p90 %.1f ms  p99 %.1f ms  p99.9 %.1f ms  (%d served)\n", name, p.P50, p.P90, p.P99, p.P999, p.Count)
+		}
+	}
+	for _, b := range o.Breaches {
+		fmt.Fprintln(out, "BROKEN:", b)
+	}
+	if o.Lag > 50 {
+		fmt.Fprintf(out, "note: this machine was busy; a request was sent %.0f ms after its time\n", o.Lag)
+	}
+	if o.Interrupted {
+		fmt.Fprintln(out, "interrupted: the account so far")
+	}
+	if a.Held() {
+		fmt.Fprintln(out, "verdict: all rules held")
+	} else {
+		fmt.Fprintln(out, "verdict: a rule broke")
+	}
+}
+
+// screen shows live figures: in place on a terminal, a line a second elsewhere.
+type screen struct {
+	out   io.Writer
+	live  bool
+	lines int // drawn last
+	last  referee.Account
+	marks int
+}
+
+func newScreen(out io.Writer) *screen {
+	f, ok := out.(*os.File)
+	return &screen{out: out, live: ok && term.IsTerminal(int(f.Fd()))}
+}
+
+// show draws a look.
+func (s *screen) show(l lab.Live) {
+	a := l.Account
+	calls := l.Calls
+	latencies := referee.Latencies(calls, -1)
+	at := func(q float64) float64 {
+		if len(latencies) == 0 {
+			return 0
+		}
+		return float64(latencies[int(q*float64(len(latencies)-1))].Microseconds()) / 1e3
+	}
+	line := fmt.Sprintf("%4.0fs  %4d/s  served %4d  refused %3d  failed %3d  p50 %6.1f ms  p99 %7.1f ms", l.At.Seconds(), a.Requests-s.last.Requests,
+		a.Completed-s.last.Completed, a.Rejected-s.last.Rejected, a.Failed+a.Unanswered-s.last.Failed-s.last.Unanswered, at(0.5), at(0.99))
+	s.last = a
+	var news []string
+	for _, m := range l.Marks[min(s.marks, len(l.Marks)):] {
+		news = append(news, fmt.Sprintf("%s: %s for %.0f s", m.Node, m.Text, (m.To-m.At).Seconds()))
+	}
+	if !s.live {
+		s.marks = len(l.Marks)
+		if len(news) > 0 {
+			line += "  <- " + strings.Join(news, ", ")
+		}
+		fmt.Fprintln(s.out, line)
+		return
+	}
+	var b strings.Builder
+	if s.lines > 0 {
+		fmt.Fprintf(&b, "\x1b[%dA\x1b[J", s.lines)
+	}
+	b.WriteString(line + "\n")
+	s.lines = 1
+	for _, n := range l.States {
+		state := ""
+		switch {
+		case !n.Up:
+			state = "down"
+		case n.Toppled:
+			state = "TOPPLED"
+		case n.Choked:
+			state = "choked"
+		case n.Failing > 0:
+			state = fmt.Sprintf("failing %.0f%%", 100*n.Failing)
+		}
+		fmt.Fprintf(&b, "  %-10s %-12s %5.2f cores' worth  in hand %2d %s\n", n.ID, state, n.Capacity, n.InFlight, strings.Repeat("#", min(40, n.InFlight)))
+		s.lines++
+	}
+	for _, m := range l.Marks {
+		if l.At < m.To {
+			fmt.Fprintf(&b, "  now: %s %s until %.0fs\n", m.Node, m.Text, m.To.Seconds())
+			s.lines++
+		}
+	}
+	io.WriteString(s.out, b.String())
+}
--- /dev/null
+++ b/internal/lab/outcome.go
@@ -0,0 +1,159 @@
+package lab
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ryeweir/internal/world"
+	"ryeweir/internal/world/backend"
+	"ryeweir/internal/world/callers"
+	"ryeweir/internal/world/node"
+	"ryeweir/internal/world/referee"
+)
+
+// Percentiles of a latency, in milliseconds from the intended send to the answer's last byte.
+type Percentiles struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean_ms"`
+	P50   float64 `json:"p50_ms"`
+	P90   float64 `json:"p90_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p99_9_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Histogram bounds: 10 µs to 10 minutes with three figures.
+const (
+	leastLatency = 10
+	mostLatency  = int64(10 * time.Minute / time.Microsecond)
+	figures      = 3
+)
+
+// percentiles sums up latencies in a histogram of high dynamic range.
+func percentiles(latencies []time.Duration) Percentiles {
+	h := hdrhistogram.New(leastLatency, mostLatency, figures)
+	for _, l := range latencies {
+		h.RecordValue(min(mostLatency, max(leastLatency, l.Microseconds())))
+	}
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1e3 }
+	return Percentiles{Count: h.TotalCount(), Mean: h.Mean() / 1e3, P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: float64(h.Max()) / 1e3}
+}
+
+// Outcome is what came of a day with an arm.
+type Outcome struct {
+	Day       string           `json:"day"`
+	Arm       string           `json:"arm"`
+	Seed      uint64           `json:"seed"`
+	Simulated bool             `json:"simulated"`
+	Seconds   float64          `json:"seconds"`
+	Calls     int              `json:"calls"` // customers' requests, over all the tries of their clients
+	Account   referee.Account  `json:"account"`
+	Breaches  []referee.Breach `json:"breaches,omitempty"`
+	referee.Service
+	Goal        float64                `json:"goal"`
+	Latency     map[string]Percentiles `json:"latency"`              // a class each, and "all"
+	Attempts    float64                `json:"attempts_per_request"` // that reached nodes
+	Waste       float64                `json:"waste"`                // work that came to nothing, as a share of all work done
+	Probes      int                    `json:"probes"`
+	Handshakes  int                    `json:"handshakes"`
+	ListCalls   int                    `json:"list_calls"`
+	Chokes      int                    `json:"chokes"`
+	CPU         float64                `json:"agent_cpu_us_per_request,omitempty"` // of all agents' processes
+	Skipped     int                    `json:"skipped"`                            // calls that found too many open
+	Lag         float64                `json:"lag_ms"`                             // the latest that a call was sent after its time
+	Interrupted bool                   `json:"interrupted,omitempty"`
+	Series      Series                 `json:"series"`
+	Marks       []world.Mark           `json:"marks"`
+}
+
+// Series are figures over time, one a second. NaN and absent values are null in JSON.
+type Series struct {
+	Service []*float64  `json:"service"`
+	P50     []*float64  `json:"p50_ms"`
+	P99     []*float64  `json:"p99_ms"`
+	Load    [][]float64 `json:"load"` // requests held at each node
+	Nodes   []string    `json:"nodes"`
+}
+
+// tallied is what a run hands over to be summed up.
+type tallied struct {
+	day     *world.Day
+	calls   []referee.Call
+	figures callers.Figures
+	account referee.Account
+	kept    []referee.Breach
+	nodes   []node.Figures
+	lists   int
+	load    [][]float64
+	marks   []world.Mark
+}
+
+// settleTime at the beginning is left out of the service: nothing is known then.
+const settleTime = time.Second
+
+// sum makes an outcome of what a run handed over.
+func (t tallied) sum(arm string, simulated bool) Outcome {
+	slices.SortFunc(t.calls, func(a, b referee.Call) int { return int(a.At - b.At) })
+	o := Outcome{Day: t.day.Spec.Name, Arm: arm, Seed: t.day.Seed, Simulated: simulated, Seconds: t.day.Length.Seconds(), Calls: len(t.calls),
+		Account: t.account, Breaches: t.kept, Service: referee.Serve(t.calls, settleTime, len(t.day.Classes), len(t.day.Tenants)),
+		Latency: map[string]Percentiles{"all": percentiles(referee.Latencies(t.calls, -1))}, ListCalls: t.lists, Marks: t.marks,
+		Skipped: t.figures.Skipped, Lag: float64(t.figures.Lag.Microseconds()) / 1e3}
+	o.Goal = o.Service.Goal()
+	for i, c := range t.day.Classes {
+		o.Latency[c.Name] = percentiles(referee.Latencies(t.calls, i))
+	}
+	if t.account.Requests > 0 {
+		o.Attempts = float64(t.account.Attempts) / float64(t.account.Requests)
+	}
+	var all node.Figures
+	for _, f := range t.nodes {
+		all = all.Plus(f)
+	}
+	if all.Work > 0 {
+		o.Waste = float64(all.Wasted) / float64(all.Work)
+	}
+	o.Probes, o.Handshakes, o.Chokes = all.Probes, all.Handshakes, all.Chokes
+	o.Series = series(t.calls)
+	o.Series.Load = t.load
+	for _, n := range t.day.Nodes {
+		o.Series.Nodes = append(o.Series.Nodes, n.ID)
+	}
+	return o
+}
+
+// series are the calls' figures by the second in which they were to be sent.
+func series(calls []referee.Call) (s Series) {
+	for _, x := range referee.BySecond(calls) {
+		if math.IsNaN(x) {
+			s.Service = append(s.Service, nil)
+		} else {
+			s.Service = append(s.Service, &x)
+		}
+	}
+	by := make([][]time.Duration, len(s.Service))
+	for _, c := range calls {
+		if c.Answered {
+			by[int(c.At/time.Second)] = append(by[int(c.At/time.Second)], c.Latency)
+		}
+	}
+	for _, l := range by {
+		if len(l) == 0 {
+			s.P50, s.P99 = append(s.P50, nil), append(s.P99, nil)
+			continue
+		}
+		p := percentiles(l)
+		s.P50, s.P99 = append(s.P50, &p.P50), append(s.P99, &p.P99)
+	}
+	return s
+}
+
+// nodeFigures are those of all lives.
+func nodeFigures(states []backend.State) (out []node.Figures) {
+	for _, s := range states {
+		out = append(out, s.Figures)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/play.go
@@ -0,0 +1,253 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"ryeweir/internal/world"
+	"ryeweir/internal/world/backend"
+	"ryeweir/internal/world/callers"
+	"ryeweir/internal/world/referee"
+)
+
+// Arm is a way to get requests to nodes.
+type Arm struct {
+	Name    string
+	Command []string // of an agent's process; empty for callers that choose by themselves
+	Chooser string   // the reference arm's name
+	Limits  world.Limits
+}
+
+// Live is what a run has come to, for those who watch it.
+type Live struct {
+	At      time.Duration // since the day began
+	Account referee.Account
+	Calls   []referee.Call // that ended since the last look
+	States  []backend.State
+	Marks   []world.Mark
+}
+
+// Play plays a day with an arm on loopback sockets. watch, where there is one, gets a look each second. When the context
+// ends the day ends early, and the outcome so far is returned, marked as interrupted.
+func Play(ctx context.Context, day *world.Day, arm Arm, watch func(Live)) (o Outcome, err error) {
+	dir, err := os.MkdirTemp("", "ryeweir-")
+	if err != nil {
+		return o, err
+	}
+	defer func() {
+		if err == nil { // else the logs are needed
+			os.RemoveAll(dir)
+		}
+	}()
+	w, err := world.Start(context.WithoutCancel(ctx), day, &world.Loopback{}, true)
+	if err != nil {
+		return o, err
+	}
+	defer w.Close()
+	p := &play{w: w, arm: arm}
+	if len(arm.Command) > 0 {
+		err = p.startAgents(ctx, dir)
+	} else {
+		err = p.startChoosers()
+	}
+	if err != nil {
+		return o, errors.Join(err, p.stopAgents())
+	}
+	w.Play()
+	watching, stop := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	all.Go(func() { p.watch(watching, watch) })
+	calls, figures := w.Call(ctx, p.route, len(arm.Command) == 0, p.ended)
+	stop()
+	all.Wait()
+	for _, c := range p.clients {
+		c.Close()
+	}
+	ended := p.stopAgents()
+	t := tallied{day: day, calls: calls, figures: figures, account: w.Referee.Account(), kept: w.Referee.Breaches(),
+		nodes: nodeFigures(w.States()), lists: w.Discovered().Whole + w.Discovered().Watches, load: p.load, marks: w.Marks()}
+	o = t.sum(arm.Name, false)
+	o.Interrupted = ctx.Err() != nil
+	if n := t.account.Requests; n > 0 {
+		o.CPU = float64(p.cpu.Microseconds()) / float64(n)
+	}
+	return o, errors.Join(ended, w.Err())
+}
+
+type play struct {
+	w       *world.World
+	arm     Arm
+	agents  []*Process
+	cpu     time.Duration
+	load    [][]float64
+	choices []*choices
+
+	mu      sync.Mutex
+	clients []*callers.Client
+	fresh   []referee.Call // that ended since the last look
+}
+
+func (p *play) startAgents(ctx context.Context, dir string) error {
+	limits := p.arm.Limits
+	if limits == (world.Limits{}) {
+		limits = world.DefaultLimits()
+	}
+	for i := range p.w.Day.Agents {
+		a, err := StartProcess(p.w, i, p.arm.Command, dir, limits)
+		if err != nil {
+			return err
+		}
+		p.agents = append(p.agents, a)
+		p.clients = append(p.clients, &callers.Client{Addr: a.Addr, Dial: p.w.Net.Dialer("")})
+	}
+	for i, a := range p.agents {
+		if err := a.Ready(ctx); err != nil {
+			return fmt.Errorf("%s: %w", p.w.Day.Agents[i], err)
+		}
+	}
+	return nil
+}
+
+func (p *play) stopAgents() error {
+	var mu sync.Mutex
+	var errs []error
+	var all sync.WaitGroup
+	for i, a := range p.agents {
+		all.Go(func() {
+			cpu, err := a.Stop()
+			mu.Lock()
+			defer mu.Unlock()
+			p.cpu += cpu
+			if err != nil {
+				errs = append(errs, fmt.Errorf("%s: %w", p.w.Day.Agents[i], err))
+			}
+		})
+	}
+	all.Wait()
+	p.agents = nil
+	return errors.Join(errs...)
+}
+
+func (p *play) ended(c referee.Call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.fresh) < callers.DefaultMost {
+		p.fresh = append(p.fresh, c)
+	}
+}
+
+// watch notes the nodes' load each second, and shows what has come of the day.
+func (p *play) watch(ctx context.Context, show func(Live)) {
+	began := time.Now()
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		states := p.w.States()
+		row := make([]float64, len(states))
+		for i, s := range states {
+			row[i] = float64(s.InFlight)
+		}
+		p.load = append(p.load, row)
+		p.mu.Lock()
+		fresh := p.fresh
+		p.fresh = nil
+		p.mu.Unlock()
+		if show != nil {
+			show(Live{At: time.Since(began), Account: p.w.Referee.Account(), Calls: fresh, States: states, Marks: p.w.Marks()})
+		}
+	}
+}
+
+func (p *play) route(c callers.Planned, tried []string) (string, *callers.Client, func(referee.End)) {
+	if p.choices != nil {
+		return p.choices[c.Agent].route(c, tried)
+	}
+	return p.w.Day.Agents[c.Agent], p.clients[c.Agent], func(referee.End) {}
+}
+
+// choices are those of the callers beside one agent's place, who choose nodes by themselves.
+type choices struct {
+	p       *play
+	agent   int
+	sees    bool // the true state
+	mu      sync.Mutex
+	chooser Chooser
+	clients map[string]*callers.Client // by address
+	own     map[string]int             // in flight, by id
+	addrs   []string
+	views   []View
+	looked  time.Time
+}
+
+// lookEvery is how often the list, and for the oracle the true state, is looked at anew.
+const lookEvery = 50 * time.Millisecond
+
+func (p *play) startChoosers() error {
+	for i := range p.w.Day.Agents {
+		c := &choices{p: p, agent: i, sees: p.arm.Chooser == Oracle, chooser: NewChooser(p.arm.Chooser, p.w.Day.Seed+uint64(i)),
+			clients: map[string]*callers.Client{}, own: map[string]int{}}
+		if c.chooser == nil {
+			return fmt.Errorf("arm %s: %q is no way to choose", p.arm.Name, p.arm.Chooser)
+		}
+		p.choices = append(p.choices, c)
+	}
+	return nil
+}
+
+func (c *choices) route(planned callers.Planned, tried []string) (string, *callers.Client, func(referee.End)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sees || time.Since(c.looked) > lookEvery {
+		c.look()
+	}
+	for i := range c.views {
+		c.views[i].Own = c.own[c.views[i].ID]
+	}
+	i := c.chooser.Choose(c.views, planned, tried)
+	if i < 0 {
+		return "", nil, nil
+	}
+	id, addr := c.views[i].ID, c.addrs[i]
+	client := c.clients[addr]
+	if client == nil {
+		client = &callers.Client{Addr: addr, Dial: c.p.w.Net.Dialer("")}
+		c.clients[addr] = client
+		c.p.mu.Lock()
+		c.p.clients = append(c.p.clients, client)
+		c.p.mu.Unlock()
+	}
+	c.own[id]++
+	return id, client, func(referee.End) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.own[id]--
+	}
+}
+
+// look reads the list, which is late, and the true state, which is not.
+func (c *choices) look() {
+	truth := map[string]*Truth{}
+	if c.sees {
+		for _, s := range c.p.w.States() {
+			if s.Up {
+				truth[s.ID] = &Truth{s.InFlight, s.Capacity, s.Failing}
+			}
+		}
+	}
+	c.addrs, c.views, c.looked = c.addrs[:0], c.views[:0], time.Now()
+	for _, e := range c.p.w.Known(c.agent).Servers {
+		if e.State == "Ready" {
+			c.addrs = append(c.addrs, e.Addr)
+			c.views = append(c.views, View{ID: e.ID, True: truth[e.ID]})
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/process.go
@@ -0,0 +1,130 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"ryeweir/internal/world"
+)
+
+// Process is an agent's process.
+type Process struct {
+	Addr    string // where its clients connect
+	Control string // and its operators
+	cmd     *exec.Cmd
+	log     *os.File
+	ended   chan struct{} // closed when it has ended
+	err     error         // how; read after ended
+}
+
+const (
+	readyIn = 20 * time.Second
+	stopIn  = 8 * time.Second // the longest deadline and the drain, with room to spare
+)
+
+// freePort is a loopback address that was free a moment ago.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// StartProcess starts an agent of a world by a command, such as the path of the program and "agent". Files go to a folder.
+func StartProcess(w *world.World, agent int, command []string, dir string, limits world.Limits) (*Process, error) {
+	listen, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	control, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	known := w.Known(agent)
+	text, err := w.Day.AgentConfig(agent, listen, control, w.Discovery(agent), limits, &known)
+	if err != nil {
+		return nil, err
+	}
+	name := filepath.Join(dir, w.Day.Agents[agent])
+	if err := os.WriteFile(name+".json", text, 0o600); err != nil {
+		return nil, fmt.Errorf("the agent's configuration: %w", err)
+	}
+	log, err := os.Create(name + ".log")
+	if err != nil {
+		return nil, fmt.Errorf("the agent's log: %w", err)
+	}
+	cmd := exec.Command(command[0], command[1:]...)
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+name+".json")
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // Ctrl-C is ours to pass on
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		return nil, fmt.Errorf("starting %s: %w", command[0], err)
+	}
+	p := &Process{Addr: listen, Control: control, cmd: cmd, log: log, ended: make(chan struct{})}
+	go func() {
+		defer close(p.ended)
+		p.err = cmd.Wait()
+		log.Close()
+	}()
+	return p, nil
+}
+
+// Ready waits until the agent takes clients.
+func (p *Process) Ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyIn)
+	defer cancel()
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Addr+"/ready", nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-p.ended:
+			return fmt.Errorf("the agent ended before it was ready: %v; its log is %s", p.err, p.log.Name())
+		case <-ctx.Done():
+			return fmt.Errorf("the agent is not ready after %v; its log is %s", readyIn, p.log.Name())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// Pid is the process's number.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Stop ends the agent in order, or after a while by force, and returns the processor time that it took.
+func (p *Process) Stop() (cpu time.Duration, err error) {
+	select {
+	case <-p.ended:
+		return 0, fmt.Errorf("the agent ended by itself: %v; its log is %s", p.err, p.log.Name())
+	default:
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+		err = p.err
+	case <-time.After(stopIn):
+		p.cmd.Process.Kill()
+		<-p.ended
+		err = errors.New("the agent had to be killed")
+	}
+	return p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime(), err
+}
--- /dev/null
+++ b/internal/lab/simulate.go
@@ -0,0 +1,665 @@
+package lab
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ryeweir/internal/wire"
+	"ryeweir/internal/world"
+	"ryeweir/internal/world/callers"
+	"ryeweir/internal/world/node"
+	"ryeweir/internal/world/referee"
+	"ryeweir/logic"
+)
+
+// Simulate plays a day in simulated time: the decision module, or a chooser, on the node models, with delays but without
+// sockets. Equal days and arms give equal outcomes.
+func Simulate(day *world.Day, arm Arm) (Outcome, error) {
+	s := &sim{day: day, referee: referee.New(referee.DefaultRules()), rng: rand.New(rand.NewPCG(day.Seed, 0x73696d)),
+		waiting: map[ticket]*simAttempt{}, open: map[string]*simTry{}}
+	for i, spec := range day.Nodes {
+		s.nodes = append(s.nodes, &simNode{Node: node.New(spec, day.Seed*1000+uint64(i)), number: i, up: true, wake: -1})
+		s.list = append(s.list, s.entry(i, logic.Ready))
+	}
+	for i := range day.Agents {
+		a := &simAgent{number: i, zone: day.AgentZone(i), conns: map[int]int{}, busy: map[int]int{}}
+		if len(arm.Command) == 0 {
+			if a.chooser = NewChooser(arm.Chooser, day.Seed+uint64(i)); a.chooser == nil {
+				return Outcome{}, fmt.Errorf("arm %s: %q is no way to choose", arm.Name, arm.Chooser)
+			}
+		} else if err := s.module(a); err != nil {
+			return Outcome{}, err
+		}
+		s.agents = append(s.agents, a)
+	}
+	s.begin()
+	s.run()
+	t := tallied{day: day, calls: s.calls, account: s.referee.Account(), kept: s.referee.Breaches(), lists: s.lists, load: s.load, marks: s.marks}
+	for _, n := range s.nodes {
+		t.nodes = append(t.nodes, n.past.Plus(n.Figures()))
+	}
+	return t.sum(arm.Name, true), nil
+}
+
+// moduleStart is where the module's clock stands when the day begins: 0 means never there.
+const moduleStart = time.Second
+
+// answerMargin is how long before its client's deadline an agent ends a request.
+const answerMargin = 20 * time.Millisecond
+
+// watchDelay is how long a change takes from the list to an agent that watches, and how soon a failed call is known.
+const watchDelay = 10 * time.Millisecond
+
+type sim struct {
+	day     *world.Day
+	referee *referee.Referee
+	rng     *rand.Rand
+	now     time.Duration
+	events  simEvents
+	made    int
+	nodes   []*simNode
+	agents  []*simAgent
+	list    []logic.Server // as discovery has it, in the order of the nodes
+	down    bool           // discovery is
+	lives   int
+	tickets uint64
+	waiting map[ticket]*simAttempt
+	open    map[string]*simTry
+	calls   []referee.Call
+	lists   int
+	load    [][]float64
+	marks   []world.Mark
+	left    int // calls that have not ended
+}
+
+type ticket struct {
+	node   int
+	number uint64
+}
+
+type simNode struct {
+	*node.Node
+	number int
+	up     bool
+	wake   time.Duration // when it is looked at next; below 0 when not
+	past   node.Figures
+	told   bool // that it toppled
+}
+
+type simAgent struct {
+	number   int
+	zone     string
+	balancer *logic.Balancer
+	chooser  Chooser
+	conns    map[int]int // to each node
+	busy     map[int]int // of those, in use
+	subbed   bool
+}
+
+// simTry is a try of a client, on its way.
+type simTry struct {
+	id       string
+	agent    *simAgent
+	journey  *callers.Journey
+	tried    []string
+	deadline time.Duration // when its agent stops, or its client where there is none
+	ended    bool          // for the client
+	sends    int
+	out      int
+}
+
+type simAttempt struct {
+	try    *simTry
+	number int
+	node   *simNode
+	life   *node.Node
+	id     string // of the node's life
+	sent   time.Duration
+	over   bool
+	ticket ticket
+}
+
+// simEvents is a heap by time, then by the order of making.
+type simEvent struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+type simEvents []simEvent
+
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last] = simEvent{}
+	*e = (*e)[:last]
+	return x
+}
+
+func (s *sim) at(t time.Duration, do func()) {
+	s.made++
+	heap.Push(&s.events, simEvent{max(t, s.now), s.made, do})
+}
+
+func (s *sim) module(a *simAgent) error {
+	text, err := json.Marshal(s.day.Settings(a.number))
+	if err != nil {
+		return err
+	}
+	site, err := wire.DecodeSettings(text)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	site.Logic.MaxRetryAfter = site.MaxRetryAfter
+	a.balancer, err = logic.New(site.Logic, s.day.Seed*64+uint64(a.number)+1)
+	return err
+}
+
+// begin books what the day brings: lists, troubles, callers.
+func (s *sim) begin() {
+	for _, a := range s.agents {
+		if a.balancer != nil {
+			s.do(a, a.balancer.Start(s.clock()))
+			s.deliver(a, true, s.list)
+		}
+	}
+	for _, n := range s.nodes {
+		s.rouse(n)
+	}
+	for _, p := range s.day.Troubles {
+		s.befall(p)
+	}
+	for _, o := range s.day.Spec.Outages {
+		s.at(o.From.D(), func() {
+			s.down = true
+			s.marks = append(s.marks, world.Mark{At: o.From.D(), To: o.To.D(), Node: "discovery", Text: "outage"})
+			for _, a := range s.agents {
+				s.lost(a)
+			}
+		})
+		s.at(o.To.D(), func() { s.down = false })
+	}
+	s.left = len(s.day.Plan)
+	for _, p := range s.day.Plan {
+		s.at(p.At, func() {
+			j := callers.NewJourney(p, s.day.Classes[p.Class], s.day.Habits)
+			s.try(j, nil)
+		})
+	}
+	var look func()
+	look = func() {
+		row := make([]float64, len(s.nodes))
+		for i, n := range s.nodes {
+			row[i] = float64(n.InFlight())
+		}
+		s.load = append(s.load, row)
+		if s.now < s.day.Length {
+			s.at(s.now+time.Second, look)
+		}
+	}
+	s.at(time.Second, look)
+}
+
+// longestTail is how long after the last call a simulation goes on at most.
+const longestTail = time.Minute
+
+func (s *sim) run() {
+	for len(s.events) > 0 && (s.left > 0 || len(s.open) > 0) && s.now < s.day.Length+longestTail {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+}
+
+func (s *sim) clock() time.Duration { return s.now + moduleStart }
+
+// Discovery.
+
+func (s *sim) entry(i int, state logic.State) logic.Server {
+	spec := s.nodes[i].Spec
+	e := logic.Server{ID: spec.ID, State: state, Zone: slices.Index(s.day.Spec.Zones, spec.Zone), Cell: i / 8, Weight: 1}
+	if spec.Started >= 0 {
+		e.Started = spec.Started + moduleStart
+	}
+	return e
+}
+
+// change changes the list, so much later, and tells those who watch.
+func (s *sim) change(late time.Duration, e logic.Server) {
+	s.at(s.now+late, func() {
+		i := slices.IndexFunc(s.list, func(o logic.Server) bool { return o.ID == e.ID })
+		switch {
+		case e.State == logic.Gone && i >= 0:
+			s.list = slices.Delete(s.list, i, i+1)
+		case e.State == logic.Gone:
+		case i >= 0:
+			s.list[i] = e
+		default:
+			s.list = append(s.list, e)
+		}
+		for _, a := range s.agents {
+			if a.subbed && !s.down {
+				s.at(s.now+watchDelay, func() { s.deliver(a, false, []logic.Server{e}) })
+			}
+		}
+	})
+}
+
+func (s *sim) deliver(a *simAgent, full bool, entries []logic.Server) {
+	s.lists++
+	for _, e := range entries {
+		s.referee.Told(s.day.Agents[a.number], e.ID, e.State == logic.Ready, s.now)
+	}
+	if full {
+		for _, n := range s.nodes {
+			if !slices.ContainsFunc(entries, func(e logic.Server) bool { return e.ID == n.ID }) {
+				s.referee.Told(s.day.Agents[a.number], n.ID, false, s.now)
+			}
+		}
+	}
+	if a.balancer != nil {
+		s.tell(a, logic.ServerList{Full: full, Servers: slices.Clone(entries)})
+	}
+}
+
+// lost breaks an agent's subscription.
+func (s *sim) lost(a *simAgent) {
+	if a.subbed {
+		a.subbed = false
+		s.at(s.now+watchDelay, func() { s.tell(a, logic.ListUnavailable{}) })
+	}
+}
+
+// Troubles.
+
+func (s *sim) befall(p world.Placed) {
+	list := s.day.Spec.List
+	n := s.nodes[p.Node]
+	name := n.ID
+	s.at(p.From, func() {
+		s.marks = append(s.marks, world.Mark{At: p.From, To: p.To, Node: name, Text: string(p.Kind)})
+		switch p.Kind {
+		case node.Drain:
+			n.Trouble(p.Trouble)
+			s.change(list.Notice.D(), s.entry(p.Node, logic.Draining))
+		case node.Restart, node.Replace:
+			s.kill(n)
+			if list.Notice.D() < p.To-p.From+list.Add.D() {
+				s.change(list.Notice.D(), s.entry(p.Node, logic.Gone))
+			}
+		default:
+			n.Trouble(p.Trouble)
+			s.rouse(n)
+		}
+	})
+	s.at(p.To, func() {
+		switch p.Kind {
+		case node.Drain:
+			s.kill(n)
+			s.change(list.Notice.D(), s.entry(p.Node, logic.Gone))
+		case node.Restart, node.Replace:
+			spec := n.Spec
+			s.lives++
+			if p.Kind == node.Replace {
+				spec.ID = fmt.Sprintf("%s-%d", spec.ID, s.lives)
+			}
+			spec.Started = s.now
+			n.past = n.past.Plus(n.Figures())
+			n.Node, n.up, n.told = node.New(spec, s.day.Seed*1000+uint64(len(s.nodes)+n.number)), true, false
+			n.Advance(s.now)
+			s.rouse(n)
+			s.change(list.Add.D(), s.entry(p.Node, logic.Ready))
+		}
+	})
+}
+
+// kill ends a node's process: what it had is reset.
+func (s *sim) kill(n *simNode) {
+	n.up = false
+	var had []*simAttempt
+	for _, t := range s.waiting {
+		if t.node == n {
+			had = append(had, t)
+		}
+	}
+	slices.SortFunc(had, func(a, b *simAttempt) int { return int(a.ticket.number) - int(b.ticket.number) })
+	for _, t := range had {
+		s.back(t, logic.Reset, 0)
+	}
+	for _, a := range s.agents {
+		delete(a.conns, n.number)
+	}
+}
+
+// Nodes.
+
+// rouse looks at a node, and books the next look.
+func (s *sim) rouse(n *simNode) {
+	s.settle(n)
+	next := n.Next()
+	if n.wake >= 0 && n.wake <= next && n.wake > s.now {
+		return
+	}
+	n.wake = next
+	life := n.Node
+	s.at(next, func() {
+		if n.Node == life && n.wake == s.now {
+			n.wake = -1
+			s.rouse(n)
+		}
+	})
+}
+
+// settle lets a node's time pass and hands out what ended.
+func (s *sim) settle(n *simNode) {
+	done := n.Advance(s.now)
+	for _, number := range n.Began() {
+		if t := s.waiting[ticket{n.number, number}]; t != nil {
+			s.referee.Began(t.try.id, n.ID, s.now)
+		}
+	}
+	if n.Toppled() && !n.told {
+		n.told = true
+		s.referee.Toppled(n.ID, s.now)
+	}
+	for _, d := range done {
+		t := s.waiting[ticket{n.number, d.Ticket}]
+		if t == nil {
+			continue
+		}
+		delete(s.waiting, t.ticket)
+		late := max(0, d.At-s.now)
+		switch {
+		case n.Silent():
+		case d.Expired:
+			s.back(t, logic.Rejected, late)
+		case !d.OK:
+			s.back(t, logic.Failed, late)
+		case d.Form != node.Whole:
+			s.back(t, logic.Reset, late)
+		default:
+			s.referee.Made(t.try.id, d.Ticket)
+			s.back(t, logic.OK, late)
+		}
+	}
+}
+
+func (s *sim) oneWay(a *simAgent, n *simNode) time.Duration {
+	c := s.day.LinkTo(a.zone, n.Zone)
+	d := c.Delay
+	if c.Jitter > 0 {
+		d += time.Duration(s.rng.Int64N(int64(c.Jitter)))
+	}
+	return d
+}
+
+// Callers.
+
+// try begins a client's next try, or ends its journey.
+func (s *sim) try(j *callers.Journey, tried []string) {
+	wait, leaves := j.Try(s.now)
+	if wait == 0 {
+		s.finish(j)
+		return
+	}
+	a := s.agents[j.Agent]
+	t := &simTry{id: callers.ID(s.day.Seed, j.Number, j.Tries), agent: a, journey: j, tried: tried, deadline: s.now + wait}
+	ask := referee.Ask{ID: t.id, Agent: s.day.Agents[j.Agent], Once: j.Class.Once, At: s.now, Class: j.Class.Name}
+	if a.balancer == nil {
+		ask.Agent = ""
+	}
+	s.referee.Asked(ask)
+	s.open[t.id] = t
+	s.at(s.now+leaves, func() { s.leave(t) })
+	if a.balancer == nil {
+		s.choose(t)
+		return
+	}
+	t.deadline -= min(answerMargin, wait/4)
+	s.tell(a, logic.Request{ID: t.id, Class: j.Planned.Class, Tenant: j.Tenant, Key: j.Key, Deadline: t.deadline + moduleStart})
+}
+
+func (s *sim) finish(j *callers.Journey) {
+	s.left--
+	s.calls = append(s.calls, j.Result())
+}
+
+// leave is a client's end of waiting.
+func (s *sim) leave(t *simTry) {
+	if t.ended {
+		return
+	}
+	s.answer(t, referee.Nothing, 0, 0)
+	if t.agent.balancer != nil {
+		s.tell(t.agent, logic.ClientGone{Request: t.id})
+	} else {
+		for _, at := range s.attempts(t) {
+			s.giveUp(at)
+		}
+	}
+}
+
+func (s *sim) attempts(t *simTry) (out []*simAttempt) {
+	for _, at := range s.waiting {
+		if at.try == t {
+			out = append(out, at)
+		}
+	}
+	return out
+}
+
+// answer gives a try its end, and lets the journey go on.
+func (s *sim) answer(t *simTry, end referee.End, sum uint64, comeBack time.Duration) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	s.referee.Ended(t.id, end, sum, s.now)
+	s.forget(t)
+	next, over := t.journey.Ended(s.now, end, comeBack)
+	if over {
+		s.finish(t.journey)
+		return
+	}
+	s.at(next, func() { s.try(t.journey, t.tried) })
+}
+
+func (s *sim) forget(t *simTry) {
+	if t.ended && t.out == 0 {
+		delete(s.open, t.id)
+	}
+}
+
+// choose sends a try where its chooser says.
+func (s *sim) choose(t *simTry) {
+	a := t.agent
+	var views []View
+	var among []*simNode
+	for _, e := range s.list {
+		i := slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.ID == e.ID })
+		if e.State != logic.Ready || i < 0 {
+			continue
+		}
+		n := s.nodes[i]
+		v := View{ID: n.ID, Own: a.busy[i]}
+		if n.up {
+			v.True = &Truth{n.InFlight(), n.Capacity(), n.Failing()}
+		}
+		views, among = append(views, v), append(among, n)
+	}
+	i := a.chooser.Choose(views, t.journey.Planned, t.tried)
+	if i < 0 {
+		s.answer(t, referee.Unsent, 0, 0)
+		return
+	}
+	t.tried = append(t.tried, views[i].ID)
+	s.send(t, among[i], 0)
+}
+
+// The module.
+
+func (s *sim) tell(a *simAgent, ev logic.Event) { s.do(a, a.balancer.Handle(s.clock(), ev)) }
+
+// do carries out the module's actions as the real agent does.
+func (s *sim) do(a *simAgent, actions []logic.Action) {
+	for _, act := range slices.Clone(actions) {
+		t := s.open[act.Request]
+		switch act.Kind {
+		case logic.Send:
+			i := slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.ID == act.Server })
+			if t == nil {
+				continue
+			}
+			if i < 0 { // a life that is over
+				n := t.sends
+				t.sends++
+				t.out++
+				s.at(s.now+watchDelay, func() { s.outcome(&simAttempt{try: t, number: n, id: act.Server, sent: s.now}, logic.ConnectFailed) })
+				continue
+			}
+			s.send(t, s.nodes[i], act.After)
+		case logic.Refuse:
+			if t != nil {
+				s.answer(t, referee.Refused, 0, act.After)
+			}
+		case logic.Fail:
+			if t != nil {
+				s.answer(t, referee.Failed, 0, 0)
+			}
+		case logic.SetTimer:
+			s.at(s.now+act.After, func() { s.tell(a, logic.TimerFired{Token: act.Token}) })
+		case logic.Subscribe:
+			s.at(s.now+watchDelay, func() {
+				if s.down {
+					s.tell(a, logic.ListUnavailable{})
+					return
+				}
+				a.subbed = true
+				s.deliver(a, true, s.list)
+			})
+		}
+	}
+}
+
+// send sends an attempt on its way, over a connection that is free or a new one.
+func (s *sim) send(t *simTry, n *simNode, after time.Duration) {
+	a := t.agent
+	at := &simAttempt{try: t, number: t.sends, node: n, life: n.Node, id: n.ID, sent: s.now}
+	t.sends++
+	t.out++
+	a.busy[n.number]++
+	until := t.deadline
+	if after > 0 {
+		until = min(until, s.now+after)
+	}
+	s.at(until, func() { s.giveUp(at) })
+	way := s.oneWay(a, n)
+	fresh := a.busy[n.number] > a.conns[n.number]
+	switch {
+	case !n.up:
+		s.at(s.now+2*way, func() { s.outcome(at, logic.ConnectFailed) })
+		return
+	case n.Silent() && fresh:
+		s.at(s.now+world.ConnectTimeout, func() { s.outcome(at, logic.ConnectFailed) })
+		return
+	}
+	arrive := s.now + way
+	if fresh {
+		arrive += 2 * way
+		s.at(s.now+way, func() {
+			if n.Node == at.life && n.up && n.Connect(s.now) == node.Admitted {
+				a.conns[n.number]++
+			}
+		})
+	}
+	s.at(arrive, func() { s.arrive(at) })
+}
+
+func (s *sim) arrive(at *simAttempt) {
+	t, n := at.try, at.node
+	if at.over {
+		return
+	}
+	if !n.up || n.Node != at.life {
+		s.back(at, logic.Reset, 0)
+		return
+	}
+	s.referee.Came(t.id, n.ID, s.now)
+	s.tickets++
+	at.ticket = ticket{n.number, s.tickets}
+	s.waiting[at.ticket] = at
+	verdict, ran := n.Offer(s.now, node.Work{Ticket: s.tickets, Key: t.journey.Key, Cost: t.journey.Work, Until: t.deadline})
+	if ran {
+		s.referee.Began(t.id, n.ID, s.now)
+	}
+	s.rouse(n)
+	result := map[node.Verdict]logic.Result{node.TurnedAway: logic.Rejected, node.FailedFast: logic.Failed, node.Broken: logic.Reset}
+	if r, ok := result[verdict]; ok {
+		delete(s.waiting, at.ticket)
+		s.back(at, r, 0)
+	}
+}
+
+// back sends an attempt's end on its way to the agent.
+func (s *sim) back(at *simAttempt, r logic.Result, late time.Duration) {
+	delete(s.waiting, at.ticket)
+	s.at(s.now+late+s.oneWay(at.try.agent, at.node), func() { s.outcome(at, r) })
+}
+
+// giveUp stops waiting for an attempt.
+func (s *sim) giveUp(at *simAttempt) {
+	if at.over {
+		return
+	}
+	if s.waiting[at.ticket] == at {
+		delete(s.waiting, at.ticket)
+		if at.node.Node == at.life {
+			at.node.Cancel(s.now, at.ticket.number)
+			s.rouse(at.node)
+		}
+	}
+	// A connection that is given up is closed.
+	if c := at.try.agent.conns; c[at.node.number] > 0 {
+		c[at.node.number]--
+		if at.node.Node == at.life && at.node.up {
+			at.node.Disconnect(s.now)
+		}
+	}
+	s.outcome(at, logic.TimedOut)
+}
+
+func (s *sim) outcome(at *simAttempt, r logic.Result) {
+	if at.over {
+		return
+	}
+	at.over = true
+	t := at.try
+	t.out--
+	if at.node != nil {
+		t.agent.busy[at.node.number]--
+	}
+	if t.agent.balancer == nil {
+		ends := map[logic.Result]referee.End{logic.OK: referee.Served, logic.Rejected: referee.Refused, logic.ConnectFailed: referee.Unsent}
+		end, ok := ends[r]
+		if !ok {
+			end = referee.Failed
+		}
+		s.answer(t, end, at.ticket.number, 0)
+		s.forget(t)
+		return
+	}
+	if r == logic.OK {
+		s.answer(t, referee.Served, at.ticket.number, 0)
+	}
+	s.tell(t.agent, logic.Outcome{Request: t.id, Attempt: at.number, Server: at.id, Result: r, Took: s.now - at.sent, Closed: t.ended, Report: logic.NoReport})
+	s.forget(t)
+}
--- /dev/null
+++ b/internal/lab/spec.go
@@ -0,0 +1,183 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"ryeweir/internal/config"
+	"ryeweir/internal/world"
+)
+
+// ArmSpec is an arm in an experiment's file.
+type ArmSpec struct {
+	Name     string   `toml:"name"`
+	Kind     string   `toml:"kind"`   // agent, random, round-robin, two-choices or oracle
+	Binary   string   `toml:"binary"` // of an agent: another build of this program; empty for this one
+	Flags    []string `toml:"flags"`  // of an agent: more arguments
+	MemoryMB int      `toml:"memory_mb"`
+	Sockets  int      `toml:"sockets"`
+	Cores    float64  `toml:"cores"`
+}
+
+// AgentKind is the kind of arm that is an agent's process.
+const AgentKind = "agent"
+
+// Spec is an experiment's file.
+type Spec struct {
+	Name      string          `toml:"name"`
+	Question  string          `toml:"question"`
+	Repeats   int             `toml:"repeats"`
+	Seed      uint64          `toml:"seed"`
+	Simulated bool            `toml:"simulated"`
+	Arms      []ArmSpec       `toml:"arm"`
+	Days      []world.DaySpec `toml:"day"`
+}
+
+const (
+	mostRepeats = 200
+	mostRuns    = 2000
+)
+
+// Check puts in the defaults and says what is wrong.
+func (s *Spec) Check() error {
+	var all []error
+	wrong := func(key, format string, args ...any) { all = append(all, config.Wrong(key, format, args...)) }
+	if s.Repeats == 0 {
+		s.Repeats = 5
+	}
+	if s.Seed == 0 {
+		s.Seed = 1
+	}
+	if s.Repeats < 1 || s.Repeats > mostRepeats {
+		wrong("repeats", "must be from 1 to %d, not %d", mostRepeats, s.Repeats)
+	}
+	if len(s.Arms) == 0 || len(s.Days) == 0 {
+		wrong("name", "an experiment needs an [[arm]] and a [[day]]")
+	}
+	if n := s.Repeats * len(s.Arms) * len(s.Days); n > mostRuns {
+		wrong("repeats", "%d runs are more than %d", n, mostRuns)
+	}
+	names := map[string]bool{}
+	for i, a := range s.Arms {
+		key := fmt.Sprintf("arm[%d].", i)
+		if a.Name == "" || names[a.Name] {
+			wrong(key+"name", "%q is missing or there already", a.Name)
+		}
+		names[a.Name] = true
+		if a.Kind != AgentKind && NewChooser(a.Kind, 1) == nil {
+			wrong(key+"kind", "%q is none of agent, random, round-robin, two-choices and oracle", a.Kind)
+		}
+		if a.Kind != AgentKind && (a.Binary != "" || len(a.Flags) > 0) {
+			wrong(key+"binary", "only an agent is a program")
+		}
+		if s.Simulated && a.Binary != "" {
+			wrong(key+"binary", "simulated time has no processes")
+		}
+		if a.MemoryMB < 0 || a.Sockets < 0 || a.Cores < 0 {
+			wrong(key+"memory_mb", "limits must not be below 0")
+		}
+	}
+	names = map[string]bool{}
+	for i := range s.Days {
+		d := &s.Days[i]
+		d.Fill()
+		if names[d.Name] {
+			wrong(fmt.Sprintf("day[%d].name", i), "%q is there already", d.Name)
+		}
+		names[d.Name] = true
+		if err := d.Check(fmt.Sprintf("day[%d].", i)); err != nil {
+			all = append(all, err)
+		}
+	}
+	return errors.Join(all...)
+}
+
+// arm is the arm of a file's entry; self is the path of this program.
+func (a ArmSpec) arm(self string) Arm {
+	out := Arm{Name: a.Name, Chooser: a.Kind}
+	if a.Kind == AgentKind {
+		binary := a.Binary
+		if binary == "" {
+			binary = self
+		}
+		out.Chooser, out.Command = "", append([]string{binary, "agent"}, a.Flags...)
+		out.Limits = world.DefaultLimits()
+		if a.MemoryMB > 0 {
+			out.Limits.MemoryMB = a.MemoryMB
+		}
+		if a.Sockets > 0 {
+			out.Limits.Sockets = a.Sockets
+		}
+		if a.Cores > 0 {
+			out.Limits.Cores = a.Cores
+		}
+	}
+	return out
+}
+
+func (s *Spec) dayNames() (out []string) {
+	for _, d := range s.Days {
+		out = append(out, d.Name)
+	}
+	return out
+}
+
+func (s *Spec) armNames() (out []string) {
+	for _, a := range s.Arms {
+		out = append(out, a.Name)
+	}
+	return out
+}
+
+// WorldSpec is the file of a world that stands by itself.
+type WorldSpec struct {
+	Seed uint64        `toml:"seed"`
+	Dir  string        `toml:"dir"` // where the agents' configurations are written
+	Day  world.DaySpec `toml:"day"`
+}
+
+// Check puts in the defaults and says what is wrong.
+func (s *WorldSpec) Check() error {
+	if s.Seed == 0 {
+		s.Seed = 1
+	}
+	s.Day.Fill()
+	return s.Day.Check("day.")
+}
+
+// LoadSpec is the file of callers for an agent that runs already.
+type LoadSpec struct {
+	Seed    uint64        `toml:"seed"`
+	Targets []string      `toml:"targets"` // an agent's clients' address each
+	Day     world.DaySpec `toml:"day"`
+}
+
+// Check puts in the defaults and says what is wrong.
+func (s *LoadSpec) Check() error {
+	if s.Seed == 0 {
+		s.Seed = 1
+	}
+	s.Day.Fill()
+	if len(s.Targets) > 0 {
+		s.Day.Agents = len(s.Targets)
+	}
+	return s.Day.Check("day.")
+}
+
+// FileKind is what a TOML file is, by its first tables: an experiment, a world or load.
+func FileKind(top map[string]any) string {
+	keys := make([]string, 0, len(top))
+	for k := range top {
+		keys = append(keys, k)
+	}
+	switch {
+	case slices.Contains(keys, "arm") || slices.Contains(keys, "repeats") || slices.Contains(keys, "question"):
+		return "experiment"
+	case slices.Contains(keys, "targets"):
+		return "load"
+	case slices.Contains(keys, "day") || slices.Contains(keys, "dir"):
+		return "world"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/lab/statistics.go
@@ -0,0 +1,172 @@
+package lab
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// Interval is a mean with a bootstrap confidence interval (percentile method; Efron and Tibshirani, An Introduction to the
+// Bootstrap, chapter 13).
+type Interval struct {
+	Mean float64 `json:"mean"`
+	Low  float64 `json:"low"`
+	High float64 `json:"high"`
+	N    int     `json:"n"`
+}
+
+const (
+	confidence = 0.95
+	resamples  = 4000
+	// With fewer pairs than this, resampling can't tell a difference from chance: the interval is too short.
+	leastPairs = 3
+)
+
+// bootstrap is the mean of samples and its interval. Equal samples give equal intervals.
+func bootstrap(samples []float64) Interval {
+	n := len(samples)
+	out := Interval{N: n, Mean: mean(samples)}
+	if n < 2 {
+		out.Low, out.High = out.Mean, out.Mean // no interval: the verdict says too few
+		return out
+	}
+	rng := rand.New(rand.NewPCG(uint64(n), 0x626f6f74))
+	means := make([]float64, resamples)
+	for i := range means {
+		sum := 0.0
+		for range n {
+			sum += samples[rng.IntN(n)]
+		}
+		means[i] = sum / float64(n)
+	}
+	slices.Sort(means)
+	tail := (1 - confidence) / 2
+	out.Low, out.High = means[int(tail*resamples)], means[int((1-tail)*resamples)-1]
+	return out
+}
+
+func mean(xs []float64) float64 {
+	sum := 0.0
+	for _, x := range xs {
+		sum += x
+	}
+	return sum / float64(len(xs))
+}
+
+// Difference compares two arms on the same days and seeds.
+type Difference struct {
+	Day    string `json:"day"`
+	Arm    string `json:"arm"`
+	Than   string `json:"than"`
+	Figure string `json:"figure"`
+	Interval
+	Verdict string `json:"verdict"` // higher, lower, noise, or too few
+}
+
+// verdict says what an interval of differences shows.
+func verdict(i Interval) string {
+	switch {
+	case i.N < leastPairs:
+		return "too few"
+	case i.Low > 0:
+		return "higher"
+	case i.High < 0:
+		return "lower"
+	}
+	return "noise"
+}
+
+// compared are the figures that arms are compared by.
+var compared = []struct {
+	name string
+	of   func(Outcome) float64
+}{
+	{"service", func(o Outcome) float64 { return o.Whole }},
+	{"worst_window", func(o Outcome) float64 { return o.WorstWindow }},
+	{"goal", func(o Outcome) float64 { return o.Goal }},
+	{"p50_ms", func(o Outcome) float64 { return o.Latency["all"].P50 }},
+	{"p99_ms", func(o Outcome) float64 { return o.Latency["all"].P99 }},
+	{"attempts_per_request", func(o Outcome) float64 { return o.Attempts }},
+	{"waste", func(o Outcome) float64 { return o.Waste }},
+}
+
+// differences compares every arm with the first, day by day, in pairs of one seed.
+func differences(outcomes []Outcome, days, arms []string) (out []Difference) {
+	for _, day := range days {
+		base := bySeed(outcomes, day, arms[0])
+		for _, arm := range arms[1:] {
+			other := bySeed(outcomes, day, arm)
+			for _, f := range compared {
+				var diffs []float64
+				for seed, a := range base {
+					if b, ok := other[seed]; ok {
+						diffs = append(diffs, f.of(b)-f.of(a))
+					}
+				}
+				if len(diffs) == 0 {
+					continue
+				}
+				slices.Sort(diffs) // the order of a map must not change the interval
+				i := bootstrap(diffs)
+				out = append(out, Difference{Day: day, Arm: arm, Than: arms[0], Figure: f.name, Interval: i, Verdict: verdict(i)})
+			}
+		}
+	}
+	return out
+}
+
+func bySeed(outcomes []Outcome, day, arm string) map[uint64]Outcome {
+	out := map[uint64]Outcome{}
+	for _, o := range outcomes {
+		if o.Day == day && o.Arm == arm && !o.Interrupted {
+			out[o.Seed] = o
+		}
+	}
+	return out
+}
+
+// Row is an arm on a day, over its repeats.
+type Row struct {
+	Day      string   `json:"day"`
+	Arm      string   `json:"arm"`
+	Runs     int      `json:"runs"`
+	Held     bool     `json:"rules_held"`
+	Service  Interval `json:"service"`
+	Worst    float64  `json:"worst_window"`
+	Goal     float64  `json:"goal"`
+	P50      float64  `json:"p50_ms"`
+	P99      float64  `json:"p99_ms"`
+	Attempts float64  `json:"attempts_per_request"`
+	Waste    float64  `json:"waste"`
+	CPU      float64  `json:"agent_cpu_us_per_request"`
+}
+
+// rows sums up each arm on each day.
+func rows(outcomes []Outcome, days, arms []string) (out []Row) {
+	for _, day := range days {
+		for _, arm := range arms {
+			r := Row{Day: day, Arm: arm, Held: true}
+			var service []float64
+			for _, o := range outcomes {
+				if o.Day != day || o.Arm != arm || o.Interrupted {
+					continue
+				}
+				r.Runs++
+				r.Held = r.Held && o.Account.Held()
+				service = append(service, o.Whole)
+				r.Worst, r.Goal = r.Worst+o.WorstWindow, r.Goal+o.Goal
+				r.P50, r.P99 = r.P50+o.Latency["all"].P50, r.P99+o.Latency["all"].P99
+				r.Attempts, r.Waste, r.CPU = r.Attempts+o.Attempts, r.Waste+o.Waste, r.CPU+o.CPU
+			}
+			if r.Runs == 0 {
+				continue
+			}
+			r.Service = bootstrap(service)
+			n := float64(r.Runs)
+			for _, x := range []*float64{&r.Worst, &r.Goal, &r.P50, &r.P99, &r.Attempts, &r.Waste, &r.CPU} {
+				*x /= n
+			}
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- a/internal/world/backend/backend.go
+++ b/internal/world/backend/backend.go
@@ -162,6 +162,7 @@
 	InFlight int
 	Conns    int
 	Capacity float64 // work a second
+	Failing  float64 // share of what is sent that comes to nothing
 	Choked   bool
 	Toppled  bool
 	Figures  node.Figures // of all its lives
@@ -174,7 +175,7 @@
 	s := State{ID: b.node.ID, Up: b.listener != nil, Figures: b.past}
 	if s.Up {
 		s.InFlight, s.Conns, s.Capacity = b.node.InFlight(), b.node.Conns(), b.node.Capacity()
-		s.Choked, s.Toppled = b.node.Choked(), b.node.Toppled()
+		s.Choked, s.Toppled, s.Failing = b.node.Choked(), b.node.Toppled(), b.node.Failing()
 		s.Figures = s.Figures.Plus(b.node.Figures())
 	}
 	return s
--- a/internal/world/node/trouble.go
+++ b/internal/world/node/trouble.go
@@ -110,3 +110,11 @@
 }
 
 func (n *Node) chance(share float64) bool { return share > 0 && n.rng.Float64() < share }
+
+// Failing is the share of what is sent that comes to nothing at present, as only one who sees the node's inside can know.
+func (n *Node) Failing() float64 {
+	if n.Silent() || n.on(Drain) {
+		return 1
+	}
+	return max(n.size(FastFail), n.size(ResetConn), n.size(Spoil), n.size(Oversize))
+}
