--- a/cmd/ryeweir/check.go
+++ b/cmd/ryeweir/check.go
@@ -54,7 +54,12 @@
 			len(d.Policy), len(d.Node))
 		return nil
 	}
-	return &config.Error{File: file, Err: errors.New("is neither the platform's JSON nor a TOML file of this program")}
+	text, err := describeTOML(file, data)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(out, text)
+	return nil
 }
 
 // deployment is the platform's deploy/balancer.toml.
--- /dev/null
+++ b/cmd/ryeweir/lab.go
@@ -0,0 +1,301 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ryeweir/internal/config"
+	"ryeweir/internal/lab"
+	"ryeweir/internal/world"
+	"ryeweir/internal/world/callers"
+)
+
+// readTOML reads and checks one of our files. What is wrong with it has been said when it returns errSaid.
+func readTOML(c *cobra.Command, file string, into config.Checker) error {
+	data, err := config.Read(file)
+	if err == nil {
+		err = config.TOML(file, data, into)
+	}
+	if err != nil {
+		fmt.Fprintln(c.ErrOrStderr(), err)
+		return errSaid
+	}
+	return nil
+}
+
+func experimentCommand() *cobra.Command {
+	var dir string
+	c := &cobra.Command{
+		Use:   "experiment FILE",
+		Short: "Play days with one or more arms, repeated and paired, and report how they differ",
+		Long: "Plays each day of FILE with each arm, repeated with other seeds; equal repeats of all arms get the same arrivals and\n" +
+			"troubles. The folder gets report.html, figures.json and plots. An interrupted run leaves what was finished. The\n" +
+			"exit code is 1 if a rule broke or a run could not be played.",
+		Example: "  ryeweir experiment deploy/experiments/arms.toml -o /tmp/arms",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if dir == "" {
+				return usage(errors.New("-o DIR says where the report goes"))
+			}
+			var spec lab.Spec
+			if err := readTOML(c, args[0], &spec); err != nil {
+				return err
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			ctx, stop := interruptible(c.Context())
+			defer stop()
+			f, err := lab.Run(ctx, &spec, self, dir, c.OutOrStdout())
+			if err != nil {
+				return err
+			}
+			out := c.OutOrStdout()
+			for _, r := range f.Rows {
+				fmt.Fprintf(out, "%-12s %-12s service %.3f (%.3f to %.3f)  worst 10 s %.3f  p50 %.1f ms  p99 %.0f ms\n", r.Day, r.Arm, r.Service.Mean,
+					r.Service.Low, r.Service.High, r.Worst, r.P50, r.P99)
+			}
+			for _, d := range f.Differences {
+				if d.Figure == "service" {
+					fmt.Fprintf(out, "%-12s %s against %s: service %+.3f (%+.3f to %+.3f): %s\n", d.Day, d.Arm, d.Than, d.Mean, d.Low, d.High, d.Verdict)
+				}
+			}
+			fmt.Fprintln(out, "report:", filepath.Join(dir, "report.html"))
+			if f.Unfinished || len(f.Failures) > 0 || !f.Held() {
+				fmt.Fprintln(out, "not all of it went well: a run was interrupted or failed, or a rule broke")
+				return errSaid
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVarP(&dir, "output", "o", "", "the folder for the report")
+	return c
+}
+
+func worldCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "world FILE",
+		Short: "Run stand-in nodes and discovery on loopback ports until stopped",
+		Long: "Runs the order nodes and discovery of FILE's day and writes a configuration for each agent, so that an agent can be\n" +
+			"started by hand beside it. The day's troubles come at their times; Ctrl-C ends it.",
+		Example: "  ryeweir world deploy/experiments/world.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			var spec lab.WorldSpec
+			if err := readTOML(c, args[0], &spec); err != nil {
+				return err
+			}
+			ctx, stop := interruptible(c.Context())
+			defer stop()
+			return runWorld(ctx, c, &spec)
+		},
+	}
+}
+
+func runWorld(ctx context.Context, c *cobra.Command, spec *lab.WorldSpec) error {
+	day, err := spec.Day.Draw(spec.Seed)
+	if err != nil {
+		return err
+	}
+	dir := spec.Dir
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "ryeweir-world-"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+	} else if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	w, err := world.Start(context.WithoutCancel(ctx), day, &world.Loopback{}, false)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	out := c.OutOrStdout()
+	for i, name := range day.Agents {
+		listen, err := lab.FreePort()
+		if err != nil {
+			return err
+		}
+		control, err := lab.FreePort()
+		if err != nil {
+			return err
+		}
+		known := w.Known(i)
+		text, err := day.AgentConfig(i, listen, control, w.Discovery(i), world.DefaultLimits(), &known)
+		if err != nil {
+			return err
+		}
+		file := filepath.Join(dir, name+".json")
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			return fmt.Errorf("the agent's configuration: %w", err)
+		}
+		fmt.Fprintf(out, "PROXY_CONFIG=%s ryeweir agent    # clients at %s, operators at %s\n", file, listen, control)
+	}
+	fmt.Fprintf(out, "%d nodes stand; the day's troubles begin now. Ctrl-C ends it.\n", len(day.Nodes))
+	w.Play()
+	tick := time.NewTicker(5 * time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			a := w.Referee.Account()
+			fmt.Fprintf(out, "%d attempts came to the nodes, %d were begun\n", a.Attempts, a.Effects)
+			return w.Err()
+		case <-tick.C:
+			line := fmt.Sprintf("%4.0fs", w.Now().Seconds())
+			for _, s := range w.States() {
+				line += fmt.Sprintf("  %s %d/%d", s.ID, s.InFlight, s.Figures.Served)
+			}
+			fmt.Fprintln(out, line)
+		}
+	}
+}
+
+func loadCommand() *cobra.Command {
+	var file string
+	var compare bool
+	var seconds int
+	c := &cobra.Command{
+		Use:   "load FILE",
+		Short: "Send open-loop load to agents that run already, or compare the agent's cost with a plain proxy's",
+		Long: "Sends what FILE's day plans to the agents at its targets, and prints how it went, by what the callers saw. With\n" +
+			"--compare, no FILE is read: the agent and a plain reverse proxy of Go's library stand in turn before instant\n" +
+			"stand-ins, on one core each, at 300 requests a second and at full speed over 32 connections.",
+		Example: "  ryeweir load deploy/experiments/load.toml\n  ryeweir load --compare",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, stop := interruptible(c.Context())
+			defer stop()
+			if compare == (len(args) == 1) {
+				return usage(errors.New("it takes FILE or --compare"))
+			}
+			if compare {
+				return compareCost(ctx, c, time.Duration(seconds)*time.Second, file)
+			}
+			var spec lab.LoadSpec
+			if err := readTOML(c, args[0], &spec); err != nil {
+				return err
+			}
+			if len(spec.Targets) == 0 {
+				return &config.Error{File: args[0], Key: "targets", Err: errors.New("names no agent's address")}
+			}
+			o, err := lab.Load(ctx, &spec)
+			if err != nil {
+				return err
+			}
+			if file != "" {
+				if err := writeJSON(file, o); err != nil {
+					return err
+				}
+			}
+			printLoad(c, o)
+			return nil
+		},
+	}
+	c.Flags().StringVar(&file, "json", "", "write the figures to this file")
+	c.Flags().BoolVar(&compare, "compare", false, "compare the agent's cost with a plain proxy's")
+	c.Flags().IntVar(&seconds, "seconds", 5, "with --compare: how long each measurement takes")
+	return c
+}
+
+func printLoad(c *cobra.Command, o lab.Outcome) {
+	a, out := o.Account, c.OutOrStdout()
+	fmt.Fprintf(out, "requests %d  completed %d  rejected %d  failed %d  unanswered %d\n", a.Requests, a.Completed, a.Rejected, a.Failed, a.Unanswered)
+	fmt.Fprintf(out, "service %.3f  worst 10 s %.3f\n", o.Whole, o.WorstWindow)
+	for name, p := range o.Latency {
+		fmt.Fprintf(out, "%-14s p50 %.1f ms  p90 %.1f ms  p99 %.1f ms  p99.9 %.1f ms  (%d served)\n", name, p.P50, p.P90, p.P99, p.P999, p.Count)
+	}
+}
+
+// proxyCommand is the plain reverse proxy that load --compare sets the agent beside.
+func proxyCommand() *cobra.Command {
+	var listen string
+	var targets []string
+	c := &cobra.Command{
+		Use:     "proxy",
+		Short:   "A plain reverse proxy of Go's library, for load --compare",
+		Example: "  ryeweir proxy --listen 127.0.0.1:9001 --target 127.0.0.1:9002",
+		Hidden:  true,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := interruptible(c.Context())
+			defer stop()
+			l, err := net.Listen("tcp", listen)
+			if err != nil {
+				return err
+			}
+			return lab.PlainProxy(ctx, l, targets)
+		},
+	}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "where clients connect")
+	c.Flags().StringSliceVar(&targets, "target", nil, "a backend's address; may be repeated")
+	return c
+}
+
+func compareCost(ctx context.Context, c *cobra.Command, each time.Duration, file string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	costs, err := lab.Compare(ctx, self, each)
+	if err != nil {
+		return err
+	}
+	out := c.OutOrStdout()
+	fmt.Fprintf(out, "%-8s %-12s %10s %12s %9s %9s %9s\n", "through", "rate", "answers/s", "CPU us each", "p50 ms", "p99 ms", "p99.9 ms")
+	for _, x := range costs {
+		fmt.Fprintf(out, "%-8s %-12s %10.0f %12.0f %9.2f %9.2f %9.2f\n", x.Through, x.Rate, x.PerSecond, x.CPU, x.P50, x.P99, x.P999)
+	}
+	if file != "" {
+		return writeJSON(file, costs)
+	}
+	return nil
+}
+
+// describeTOML says what a TOML file of ours means, or what is wrong with it.
+func describeTOML(file string, data []byte) (string, error) {
+	kind, err := lab.KindOf(file, data)
+	if err != nil {
+		return "", err
+	}
+	switch kind {
+	case "experiment":
+		var s lab.Spec
+		if err := config.TOML(file, data, &s); err != nil {
+			return "", err
+		}
+		return fmt.Sprintf("experiment %s: %d days with %d arms, %d repeats", s.Name, len(s.Days), len(s.Arms), s.Repeats), nil
+	case "load":
+		var s lab.LoadSpec
+		if err := config.TOML(file, data, &s); err != nil {
+			return "", err
+		}
+		return describeDay("load on "+fmt.Sprint(s.Targets), &s.Day, s.Seed)
+	case "world":
+		var s lab.WorldSpec
+		if err := config.TOML(file, data, &s); err != nil {
+			return "", err
+		}
+		return describeDay("world", &s.Day, s.Seed)
+	}
+	return "", &config.Error{File: file, Err: errors.New("is neither an experiment, a world, load nor a deployment")}
+}
+
+func describeDay(what string, d *world.DaySpec, seed uint64) (string, error) {
+	day, err := d.Draw(seed)
+	if err != nil {
+		return "", err
+	}
+	habits := callers.Habits(day.Habits)
+	return fmt.Sprintf("%s: day %s of %v, %d nodes, %d agents, %.0f requests a second, clients retry %d times, %d troubles", what, d.Name,
+		day.Length, len(day.Nodes), len(day.Agents), day.Rate, habits.Retries, len(day.Troubles)), nil
+}
--- /dev/null
+++ b/internal/lab/load.go
@@ -0,0 +1,62 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"ryeweir/internal/config"
+	"ryeweir/internal/world"
+	"ryeweir/internal/world/callers"
+	"ryeweir/internal/world/referee"
+)
+
+// KindOf says what a TOML file is: experiment, load, world, or nothing of ours.
+func KindOf(file string, data []byte) (string, error) {
+	top := map[string]any{}
+	if err := toml.Unmarshal(data, &top); err != nil {
+		var any anything
+		if err := config.TOML(file, data, &any); err != nil {
+			return "", err
+		}
+	}
+	return FileKind(top), nil
+}
+
+// anything takes every key, for the place of a syntax error.
+type anything map[string]any
+
+// Check finds nothing wrong.
+func (*anything) Check() error { return nil }
+
+// Load sends a day's plan to agents that run already. Their nodes are out of sight: that an answer was made by a node, and
+// what ran there, is not checked.
+func Load(ctx context.Context, spec *LoadSpec) (Outcome, error) {
+	day, err := spec.Day.Draw(spec.Seed)
+	if err != nil {
+		return Outcome{}, err
+	}
+	dial := (&world.Loopback{}).Dialer("")
+	clients := make([]*callers.Client, len(spec.Targets))
+	for i, t := range spec.Targets {
+		if _, _, err := net.SplitHostPort(t); err != nil {
+			return Outcome{}, fmt.Errorf("target %q: %w", t, err)
+		}
+		clients[i] = &callers.Client{Addr: t, Dial: dial}
+		defer clients[i].Close()
+	}
+	ref := referee.New(referee.DefaultRules())
+	ref.TrustAnswers()
+	route := func(p callers.Planned, _ []string) (string, *callers.Client, func(referee.End)) {
+		return spec.Targets[p.Agent], clients[p.Agent], func(referee.End) {}
+	}
+	calls, figures := callers.Run(ctx, callers.Config{Plan: day.Plan, Classes: day.Classes, Tenants: day.Tenants, Habits: day.Habits, Route: route,
+		Referee: ref, Epoch: time.Now(), Answer: day.Spec.Answer, Body: day.Spec.Body, Slow: day.Spec.Clients.Slow, Prefix: uint64(time.Now().UnixNano())})
+	t := tallied{day: day, calls: calls, figures: figures, account: ref.Account(), kept: ref.Breaches()}
+	o := t.sum("load", false)
+	o.Interrupted = ctx.Err() != nil
+	return o, nil
+}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -31,8 +31,8 @@
 	stopIn  = 8 * time.Second // the longest deadline and the drain, with room to spare
 )
 
-// freePort is a loopback address that was free a moment ago.
-func freePort() (string, error) {
+// FreePort is a loopback address that was free a moment ago.
+func FreePort() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -43,11 +43,11 @@
 
 // StartProcess starts an agent of a world by a command, such as the path of the program and "agent". Files go to a folder.
 func StartProcess(w *world.World, agent int, command []string, dir string, limits world.Limits) (*Process, error) {
-	listen, err := freePort()
+	listen, err := FreePort()
 	if err != nil {
 		return nil, err
 	}
-	control, err := freePort()
+	control, err := FreePort()
 	if err != nil {
 		return nil, err
 	}
