--- a/internal/world/backend/backend.go
+++ b/internal/world/backend/backend.go
@@ -163,6 +163,9 @@
 	Conns    int
 	Capacity float64 // work a second
 	Failing  float64 // share of what is sent that comes to nothing
+	Backlog  time.Duration
+	Cores    int
+	Room     bool // another request would find a place
 	Choked   bool
 	Toppled  bool
 	Figures  node.Figures // of all its lives
@@ -176,6 +179,7 @@
 	if s.Up {
 		s.InFlight, s.Conns, s.Capacity = b.node.InFlight(), b.node.Conns(), b.node.Capacity()
 		s.Choked, s.Toppled, s.Failing = b.node.Choked(), b.node.Toppled(), b.node.Failing()
+		s.Backlog, s.Cores, s.Room = b.node.Backlog(), b.node.Cores, b.node.Room()
 		s.Figures = s.Figures.Plus(b.node.Figures())
 	}
 	return s
