--- /dev/null
+++ b/internal/world/link/link_test.go
@@ -0,0 +1,323 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// pair is a connection in memory from a to b.
+func pair(t *testing.T, n *Network) (here, there net.Conn) {
+	t.Helper()
+	l, err := n.Listen("b:80")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	here, err = n.Dialer("a")(t.Context(), "tcp", "b:80")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if there, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return here, there
+}
+
+// read reads a piece and says how long it took.
+func read(c net.Conn) (string, time.Duration, error) {
+	began := time.Now()
+	buf := make([]byte, 100)
+	n, err := c.Read(buf)
+	return string(buf[:n]), time.Since(began), err
+}
+
+func TestDelayAndOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := NewNetwork(1)
+		n.Both("a", "b", Conditions{Delay: 100 * time.Millisecond, Jitter: 50 * time.Millisecond, Loss: 0.3})
+		began := time.Now()
+		here, there := pair(t, n)
+		if up := time.Since(began); up < 200*time.Millisecond {
+			t.Errorf("a connection was up after %v", up)
+		}
+		want := bytes.Repeat([]byte("0123456789"), 5000)
+		go func() { here.Write(want); here.Close() }()
+		got, err := io.ReadAll(there)
+		if err != nil || !bytes.Equal(got, want) {
+			t.Errorf("%d bytes, %v", len(got), err)
+		}
+		there.Close()
+	})
+}
+
+func TestBandwidthAndWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := NewNetwork(1)
+		n.Both("a", "b", Conditions{Bandwidth: 1 << 20})
+		here, there := pair(t, n)
+		here.SetWriteDeadline(time.Now().Add(time.Second))
+		sent, err := here.Write(make([]byte, 2<<20))
+		if !errors.Is(err, os.ErrDeadlineExceeded) || sent != window {
+			t.Errorf("%d bytes are under way with nobody reading, %v", sent, err)
+		}
+		here.SetWriteDeadline(time.Time{})
+		began := time.Now()
+		go func() { here.Write(make([]byte, 1<<20)); here.Close() }()
+		if _, err := io.Copy(io.Discard, there); err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(began); took < 900*time.Millisecond || took > 1500*time.Millisecond {
+			t.Errorf("a megabyte took %v", took)
+		}
+		there.Close()
+	})
+}
+
+// A cut says nothing; what it held back comes when it is over. In the other direction all goes on.
+func TestCutInOneDirection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := NewNetwork(1)
+		here, there := pair(t, n)
+		n.Set("a", "b", Conditions{Cut: true})
+		io.WriteString(here, "held")
+		io.WriteString(there, "back")
+		if got, _, _ := read(here); got != "back" {
+			t.Errorf("got %q", got)
+		}
+		there.SetReadDeadline(time.Now().Add(time.Minute))
+		if _, took, err := read(there); !errors.Is(err, os.ErrDeadlineExceeded) || took != time.Minute {
+			t.Errorf("%v after %v", err, took)
+		}
+		if !there.(*Conn).Quiet() {
+			t.Error("something had come")
+		}
+		there.SetReadDeadline(time.Time{})
+		time.AfterFunc(time.Second, func() { n.Set("a", "b", Conditions{}) })
+		if got, took, err := read(there); got != "held" || took != time.Second || err != nil {
+			t.Errorf("%q after %v, %v", got, took, err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		n.Set("b", "a", Conditions{Cut: true})
+		l, _ := n.Listen("b:80")
+		defer l.Close()
+		if _, err := n.Dialer("a")(ctx, "tcp", "b:80"); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("a dial whose answer is cut off: %v", err)
+		}
+		here.Close()
+		there.Close()
+	})
+}
+
+func TestEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := NewNetwork(1)
+		here, there := pair(t, n)
+		io.WriteString(here, "last")
+		here.Close()
+		if got, _, _ := read(there); got != "last" {
+			t.Errorf("got %q", got)
+		}
+		if _, _, err := read(there); err != io.EOF {
+			t.Errorf("at the end: %v", err)
+		}
+		if _, err := there.Write([]byte("x")); !errors.Is(err, syscall.EPIPE) {
+			t.Errorf("a write to a closed one: %v", err)
+		}
+		here, there = pair(t, n)
+		io.WriteString(there, "unread")
+		here.Close()
+		if _, _, err := read(there); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("closed with something unread: %v", err)
+		}
+		here, there = pair(t, n)
+		n.Kill("b")
+		if _, _, err := read(here); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("its peer was killed: %v", err)
+		}
+		if _, err := n.Dialer("a")(t.Context(), "tcp", "b:80"); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("nobody listens: %v", err)
+		}
+		here.Close()
+		if n.Open("a") != 0 || there.Close() != nil {
+			t.Errorf("%d are open", n.Open("a"))
+		}
+	})
+}
+
+func TestDatagrams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := NewNetwork(1)
+		a, _ := n.ListenPacket("a:1")
+		b, _ := n.ListenPacket("b:1")
+		n.Set("a", "b", Conditions{Delay: 50 * time.Millisecond, Jitter: 20 * time.Millisecond, Loss: 0.2})
+		for range 500 {
+			a.WriteTo([]byte("x"), b.LocalAddr())
+		}
+		b.SetReadDeadline(time.Now().Add(time.Second))
+		got := 0
+		for buf := make([]byte, 10); ; got++ {
+			if _, _, err := b.ReadFrom(buf); err != nil {
+				break
+			}
+		}
+		if got < 350 || got > 450 {
+			t.Errorf("%d of 500 came with a fifth lost", got)
+		}
+		for range 3 * mostDatagrams {
+			a.WriteTo([]byte("x"), a.LocalAddr())
+		}
+		if a.Lost() != 2*mostDatagrams {
+			t.Errorf("%d found a full socket", a.Lost())
+		}
+		a.Close()
+		b.Close()
+	})
+}
+
+// echo answers with what it gets, on a real socket.
+func echo(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { io.Copy(c, c); c.Close() }()
+		}
+	}()
+	return l
+}
+
+func TestRelay(t *testing.T) {
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := NewRelay(front, echo(t).Addr().String(), 1)
+	defer r.Close()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", r.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		return c
+	}
+	slow := Conditions{Delay: 30 * time.Millisecond}
+	r.Set(slow, slow)
+	c := dial()
+	began := time.Now()
+	io.WriteString(c, "there and back")
+	if got, _, err := read(c); got != "there and back" || time.Since(began) < 60*time.Millisecond {
+		t.Errorf("%q after %v, %v", got, time.Since(began), err)
+	}
+	r.Set(Conditions{Cut: true}, Conditions{})
+	io.WriteString(c, "held")
+	c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if got, _, err := read(c); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%q, %v through a cut", got, err)
+	}
+	r.Set(Conditions{}, Conditions{})
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	if got, _, err := read(c); got != "held" {
+		t.Errorf("%q, %v after the cut", got, err)
+	}
+	c.(*net.TCPConn).CloseWrite()
+	if _, _, err := read(c); err != io.EOF {
+		t.Errorf("after the end: %v", err)
+	}
+	broken := dial()
+	io.WriteString(broken, "x")
+	read(broken)
+	r.Reset()
+	if _, _, err := read(broken); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("after a reset: %v", err)
+	}
+	if err := r.Refuse(true); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := net.Dial("tcp", r.Addr().String()); err == nil {
+		c.Close()
+		t.Error("a connection was taken that should have been refused")
+	}
+	if err := r.Refuse(false); err != nil {
+		t.Fatal(err)
+	}
+	again := dial()
+	io.WriteString(again, "again")
+	if got, _, _ := read(again); got != "again" {
+		t.Errorf("%q", got)
+	}
+}
+
+func TestDatagramRelay(t *testing.T) {
+	server, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	go func() {
+		buf := make([]byte, 100)
+		for {
+			n, from, err := server.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			server.WriteTo(buf[:n], from)
+		}
+	}()
+	front, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := NewDatagramRelay(front, server.LocalAddr().String(), 1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	first, err := net.Dial("udp", r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	first.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(first, "ping")
+	if got, _, err := read(first); got != "ping" {
+		t.Errorf("%q, %v", got, err)
+	}
+	second, err := net.Dial("udp", r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	io.WriteString(second, "no room")
+	for end := time.Now().Add(20 * time.Second); r.Lost() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if r.Lost() != 1 {
+		t.Errorf("%d lost", r.Lost())
+	}
+}
+
+func TestConditionsCheck(t *testing.T) {
+	for _, c := range []Conditions{{Delay: -1}, {Loss: 1}, {Loss: -0.1}, {Bandwidth: -1}} {
+		if c.Check() == nil {
+			t.Errorf("%+v passed", c)
+		}
+	}
+}
--- a/internal/world/link/pipe.go
+++ b/internal/world/link/pipe.go
@@ -75,6 +75,17 @@
 	p.mu.Lock()
 }
 
+// due is when n bytes arrive that are sent now. What is sent into a cut is later than it, also with no delay. The lock is
+// held.
+func (p *pipe) due(n int) time.Time {
+	at := p.shape.stream(time.Now(), n, p.cond)
+	if p.cond.Cut && !at.After(p.cutAt) {
+		at = p.cutAt.Add(1)
+		p.shape.last = at
+	}
+	return at
+}
+
 // set changes the conditions for what is written from now on. What a cut held back passes when it is over.
 func (p *pipe) set(c Conditions) {
 	p.mu.Lock()
@@ -168,7 +179,7 @@
 			continue
 		}
 		part := b[:min(len(b), window-p.under)]
-		due := p.shape.stream(now, len(part), p.cond)
+		due := p.due(len(part))
 		if !p.gone {
 			p.pieces = append(p.pieces, piece{append([]byte(nil), part...), due})
 			p.under += len(part)
@@ -187,7 +198,7 @@
 		return
 	}
 	p.closed = true
-	p.end = p.shape.stream(time.Now(), 0, p.cond)
+	p.end = p.due(0)
 	p.wake()
 }
 
@@ -198,7 +209,7 @@
 	if p.broken.IsZero() {
 		p.broken = time.Now()
 		if !now {
-			p.broken = p.shape.stream(p.broken, 0, p.cond)
+			p.broken = p.due(0)
 		}
 	}
 	p.closed = true
--- a/internal/world/node/load.go
+++ b/internal/world/node/load.go
@@ -16,7 +16,8 @@
 func (n *Node) look() {
 	span := (n.now - n.ticked).Seconds()
 	n.ticked = n.now
-	use := float64(min(len(n.running), n.Cores)) / float64(n.Cores)
+	use := n.usedTime / span / float64(n.Cores) // over the whole tick: at its end a slot may just be free
+	n.usedTime = 0
 	n.busy += min(1, span/0.5) * (use - n.busy)
 	for len(n.turned) > 0 && n.turned[0] <= n.now-time.Second {
 		n.turned = n.turned[1:]
--- a/internal/world/node/node.go
+++ b/internal/world/node/node.go
@@ -97,6 +97,7 @@
 	probes    []time.Duration // the latest second's
 	reading   reading
 	busyTime  float64 // core-seconds in use since the last reading
+	usedTime  float64 // and since the last tick
 	completed int     // since the last reading
 	pending   []reading
 }
@@ -150,7 +151,9 @@
 }
 
 // Room reports whether another request would find a place.
-func (n *Node) Room() bool { return len(n.queue) < int(float64(n.Cores)*n.QueuePerCore) || !n.slotsFull() }
+func (n *Node) Room() bool {
+	return len(n.queue) < int(float64(n.Cores)*n.QueuePerCore) || !n.slotsFull()
+}
 
 // Waiting is how many requests wait for a slot.
 func (n *Node) Waiting() int { return len(n.queue) }
@@ -244,7 +247,8 @@
 		it.left -= span * pace
 		it.used += span * pace
 	}
-	n.busyTime += span * float64(min(len(n.running), n.Cores))
+	used := span * float64(min(len(n.running), n.Cores))
+	n.busyTime, n.usedTime = n.busyTime+used, n.usedTime+used
 	n.now = to
 	for i := 0; i < len(n.running); {
 		if it := n.running[i]; it.left <= 1e-9 {
--- /dev/null
+++ b/internal/world/node/node_test.go
@@ -0,0 +1,241 @@
+package node
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// plain is a node of one core on which work takes just as long as it costs.
+func plain() Spec {
+	return Spec{ID: "n", Cores: 1, Speed: 1, SlotsPerCore: 1, QueuePerCore: 2, ColdFrom: 0.2, ColdFor: 10 * time.Second, Started: -1}
+}
+
+// finish offers work at a time to an idle node and returns how long it took.
+func finish(t *testing.T, n *Node, at time.Duration, w Work) time.Duration {
+	t.Helper()
+	if v, _ := n.Offer(at, w); v != Accepted {
+		t.Fatalf("verdict %v", v)
+	}
+	for now := at; now < at+time.Minute; now = n.Next() {
+		for _, d := range n.Advance(now) {
+			if d.Ticket == w.Ticket && d.OK {
+				return d.At - at
+			}
+		}
+	}
+	t.Fatal("never done")
+	return 0
+}
+
+func near(a, b time.Duration) bool { return (a - b).Abs() <= 2*time.Millisecond }
+
+func TestSpeeds(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Spec)
+		do     func(*Node)
+		want   time.Duration
+	}{
+		"plain":          {want: 100 * time.Millisecond},
+		"a fast core":    {change: func(s *Spec) { s.Speed = 2 }, want: 50 * time.Millisecond},
+		"cold":           {change: func(s *Spec) { s.Started = time.Second }, want: 465 * time.Millisecond}, // a fifth, and rising
+		"slow":           {do: func(n *Node) { n.Trouble(Trouble{Kind: Slow, To: time.Hour, Size: 4}) }, want: 400 * time.Millisecond},
+		"a neighbour":    {do: func(n *Node) { n.Trouble(Trouble{Kind: Neighbour, To: time.Hour, Size: 0.5}) }, want: 200 * time.Millisecond},
+		"neighbour ends": {do: func(n *Node) { n.Trouble(Trouble{Kind: Neighbour, To: 1050 * time.Millisecond, Size: 0.5}) }, want: 125 * time.Millisecond},
+		"both": {do: func(n *Node) {
+			n.Trouble(Trouble{Kind: Slow, To: time.Hour, Size: 2})
+			n.Trouble(Trouble{Kind: Neighbour, To: time.Hour, Size: 0.5})
+		}, want: 400 * time.Millisecond},
+		"late":         {do: func(n *Node) { n.Trouble(Trouble{Kind: Late, To: time.Hour, Size: 0.3}) }, want: 400 * time.Millisecond},
+		"a full table": {change: func(s *Spec) { s.ConnCap, s.FullTax = 1, 0.5 }, do: func(n *Node) { n.Connect(time.Second) }, want: 200 * time.Millisecond},
+		"a known key":  {change: func(s *Spec) { s.Affinity = Affinity{0.5, time.Minute, 5} }, do: func(n *Node) { n.remember("k") }, want: 50 * time.Millisecond},
+		"a handshake":  {change: func(s *Spec) { s.Handshake = 30 * time.Millisecond }, do: func(n *Node) { n.Connect(time.Second) }, want: 100 * time.Millisecond},
+		"on and off, off": {do: func(n *Node) {
+			n.Trouble(Trouble{Kind: Slow, To: time.Hour, Size: 4, On: 500 * time.Millisecond, Off: time.Second})
+		}, want: 100 * time.Millisecond},
+	} {
+		s := plain()
+		if c.change != nil {
+			c.change(&s)
+		}
+		n := New(s, 1)
+		n.Advance(time.Second)
+		if c.do != nil {
+			c.do(n)
+		}
+		if got := finish(t, n, time.Second, Work{Ticket: 1, Key: "k", Cost: 100 * time.Millisecond}); !near(got, c.want) {
+			t.Errorf("%s: took %v, not %v", name, got, c.want)
+		}
+	}
+}
+
+// A node holds what it has slots and room for, turns the rest away unseen, and lets go of what is over or cancelled.
+func TestRoom(t *testing.T) {
+	n := New(plain(), 1)
+	for i, want := range []Verdict{Accepted, Accepted, Accepted, TurnedAway} {
+		if v, _ := n.Offer(time.Millisecond, Work{Ticket: uint64(i), Cost: time.Second, Until: 1500 * time.Millisecond}); v != want {
+			t.Errorf("offer %d: %v", i, v)
+		}
+	}
+	if got := n.Began(); len(got) != 1 || got[0] != 0 {
+		t.Errorf("began %v", got)
+	}
+	n.Cancel(2*time.Millisecond, 1)
+	n.Cancel(2*time.Millisecond, 1) // twice does no harm
+	if n.InFlight() != 2 {
+		t.Errorf("%d in flight", n.InFlight())
+	}
+	var expired bool
+	for _, d := range n.Advance(4 * time.Second) {
+		expired = expired || d.Ticket == 2 && d.Expired
+	}
+	if f := n.Figures(); !expired && f.Served != 2 || f.Turned != 1 || f.Cancelled != 1 || n.InFlight() != 0 {
+		t.Errorf("%+v expired %v", f, expired)
+	}
+	if v, _ := n.Offer(5*time.Second, Work{Ticket: 9, Cost: 1, Until: 4 * time.Second}); v != TurnedAway {
+		t.Errorf("what was over got %v", v)
+	}
+}
+
+// A lasting overload chokes a node; rest heals it. A short one does not.
+func TestChoke(t *testing.T) {
+	s := plain()
+	s.Choke = Choke{At: 4, Over: 2 * time.Second, Slower: 3, Below: 0.3, Rest: 3 * time.Second, Most: 30 * time.Second}
+	press := func(n *Node, from, to time.Duration) {
+		for at := from; at < to; at += 50 * time.Millisecond {
+			n.Offer(at, Work{Ticket: uint64(at), Cost: 100 * time.Millisecond})
+		}
+	}
+	n := New(s, 1)
+	press(n, 0, 1500*time.Millisecond)
+	if n.Advance(5 * time.Second); n.Choked() || n.Figures().Chokes > 0 {
+		t.Error("it choked after a short overload")
+	}
+	press(n, 5*time.Second, 9*time.Second)
+	if !n.Choked() || math.Abs(n.Capacity()-1.0/3) > 1e-9 {
+		t.Errorf("choked %v, capacity %v", n.Choked(), n.Capacity())
+	}
+	if n.Advance(20 * time.Second); n.Choked() {
+		t.Error("rest did not heal it")
+	}
+}
+
+// A cold node topples when it is sent more than its budget, and not at its budget.
+func TestTopple(t *testing.T) {
+	for _, c := range []struct {
+		load float64 // of its capacity at the start
+		want bool
+	}{{1.5, false}, {12, true}} {
+		s := plain()
+		s.Cores, s.Started, s.Overload, s.FallFor = 4, 0, 2.5, 2*time.Second
+		n := New(s, 1)
+		gap := time.Duration(float64(20*time.Millisecond) / (c.load * 4 * 0.2))
+		for at := time.Duration(0); at < 4*time.Second; at += gap {
+			n.Offer(at, Work{Ticket: uint64(at) + 1, Cost: 20 * time.Millisecond})
+		}
+		if n.Toppled() != c.want {
+			t.Errorf("at %v times its capacity it toppled: %v", c.load, n.Toppled())
+		}
+		if v, _ := n.Offer(5*time.Second, Work{Ticket: 1 << 50, Cost: 1}); c.want && v != Ignored {
+			t.Errorf("a toppled node said %v", v)
+		}
+	}
+}
+
+func TestReportsComeLate(t *testing.T) {
+	s := plain()
+	s.Report = Report{Period: 500 * time.Millisecond, Delay: 200 * time.Millisecond}
+	s.ProbeRate = 2
+	n := New(s, 1)
+	n.Advance(10 * time.Second)
+	n.Offer(10*time.Second, Work{Ticket: 1, Cost: 5 * time.Second})
+	n.Advance(10600 * time.Millisecond)
+	if l, ok := n.Load(); !ok || l.Util > 0.01 {
+		t.Errorf("a reading was seen before its time: %+v", l)
+	}
+	n.Advance(11300 * time.Millisecond)
+	if l, _ := n.Load(); l.Util < 0.9 {
+		t.Errorf("%+v", l)
+	}
+	for i, want := range []bool{true, true, false} {
+		if n.Probe(12*time.Second) != want {
+			t.Errorf("probe %d", i)
+		}
+	}
+}
+
+func TestKeysAreBounded(t *testing.T) {
+	s := plain()
+	s.Affinity = Affinity{0.5, time.Hour, 3}
+	n := New(s, 1)
+	for i, k := range []string{"a", "b", "c", "d", "b", "e"} {
+		n.now = time.Duration(i)
+		n.remember(k)
+	}
+	if _, b := n.met["b"]; len(n.met) != 3 || !b {
+		t.Errorf("%v", n.met)
+	}
+}
+
+// Whatever is offered, cancelled and goes wrong: nothing is lost or done twice, and no more is held than there is room for.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Usual("n", "k", "z", rapid.Float64Range(0.2, 2).Draw(t, "speed"))
+		s.Started = rapid.SampledFrom([]time.Duration{-1, 0}).Draw(t, "started")
+		n := New(s, rapid.Uint64().Draw(t, "seed"))
+		for _, k := range rapid.SliceOfN(rapid.SampledFrom(kinds), 0, 4).Draw(t, "troubles") {
+			from := time.Duration(rapid.IntRange(0, 2000).Draw(t, "from")) * time.Millisecond
+			tr := Trouble{Kind: k, From: from, To: from + time.Second, Size: 0.5}
+			if k == Slow {
+				tr.Size = 3
+			}
+			if err := tr.Check(); err != nil {
+				t.Fatal(err)
+			}
+			n.Trouble(tr)
+		}
+		open, now := map[uint64]bool{}, time.Duration(0)
+		take := func(done []Done) {
+			for _, d := range done {
+				if !open[d.Ticket] {
+					t.Fatalf("%d ended and was not open", d.Ticket)
+				}
+				delete(open, d.Ticket)
+			}
+		}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 80).Draw(t, "gap")) * time.Millisecond
+			ticket := uint64(i + 1)
+			if rapid.Bool().Draw(t, "cancel") && i > 0 {
+				take(n.Advance(now))
+				n.Cancel(now, uint64(rapid.IntRange(1, i).Draw(t, "which")))
+			}
+			if v, _ := n.Offer(now, Work{Ticket: ticket, Cost: time.Duration(rapid.IntRange(1, 90).Draw(t, "cost")) * time.Millisecond, Until: now + time.Second}); v == Accepted {
+				open[ticket] = true
+			}
+			take(n.Advance(now))
+			if most := s.Cores + int(float64(s.Cores)*s.QueuePerCore); n.InFlight() > most {
+				t.Fatalf("%d held, room for %d", n.InFlight(), most)
+			}
+			if n.Next() <= n.now {
+				t.Fatalf("the next moment %v is not after %v", n.Next(), n.now)
+			}
+		}
+		take(n.Advance(now + time.Hour))
+		f := n.Figures()
+		if !n.Toppled() && len(open) != f.Cancelled {
+			t.Fatalf("%d never ended, %d were cancelled", len(open), f.Cancelled)
+		}
+	})
+}
+
+func TestTroubleChecks(t *testing.T) {
+	for _, tr := range []Trouble{{Kind: "plague", To: 1}, {Kind: Slow, From: 2, To: 1, Size: 2}, {Kind: Slow, To: 1, Size: 0.5}, {Kind: FastFail, To: 1},
+		{Kind: Neighbour, To: 1, Size: 1}, {Kind: Late, To: 1}, {Kind: Slow, To: 1, Size: 2, Off: 1}, {Kind: Vanish, From: -1, To: 1}} {
+		if tr.Check() == nil {
+			t.Errorf("%+v passed", tr)
+		}
+	}
+}
