--- /dev/null
+++ b/cmd/ryeweir/demo_test.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ryeweir/internal/lab"
+)
+
+// output is what a command prints, read while it runs.
+type output struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.String()
+}
+
+// until waits until the output holds a text.
+func (o *output) until(t *testing.T, text string) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if strings.Contains(o.String(), text) {
+			return
+		}
+	}
+	t.Fatalf("never printed %q:\n%s", text, o.String())
+}
+
+// The demo plays with real processes on real sockets, and its account comes out even.
+func TestDemo(t *testing.T) {
+	t.Setenv("RYEWEIR_AS_PROGRAM", "1")
+	file := filepath.Join(t.TempDir(), "figures.json")
+	var out output
+	run(t.Context(), []string{"demo", "--seconds", "3", "--json", file}, &out, &out)
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	var o lab.Outcome
+	if err := json.Unmarshal(text, &o); err != nil {
+		t.Fatal(err)
+	}
+	if a := o.Account; !a.Balanced() || a.Completed < 300 || a.Lost+a.Duplicates+a.Strangers > 0 || o.CPU <= 0 {
+		t.Errorf("%+v\n%s", a, out.String())
+	}
+	for _, want := range []string{"verdict:", "node-02: drain", "place-order"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %q in\n%s", want, out.String())
+		}
+	}
+}
+
+// Ctrl-C ends the demo in order, with the account so far.
+func TestDemoInterrupted(t *testing.T) {
+	t.Setenv("RYEWEIR_AS_PROGRAM", "1")
+	ctx, cancel := context.WithCancel(t.Context())
+	var out output
+	done := make(chan int)
+	go func() { done <- run(ctx, []string{"demo", "--seconds", "60"}, &out, &out) }()
+	out.until(t, "1s")
+	cancel()
+	<-done
+	if got := out.String(); !strings.Contains(got, "interrupted: the account so far") || !strings.Contains(got, "verdict:") {
+		t.Error(got)
+	}
+}
+
+// A world, an agent beside it and load from another process's place work together by hand, as the docs say.
+func TestWorldAndLoad(t *testing.T) {
+	t.Setenv("RYEWEIR_AS_PROGRAM", "1")
+	dir := t.TempDir()
+	file := filepath.Join(dir, "world.toml")
+	if err := os.WriteFile(file, []byte("dir = \""+dir+"\"\n[day]\nagents = 1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer cancel()
+	var world, agent, load output
+	all.Go(func() { run(ctx, []string{"world", file}, &world, &world) })
+	world.until(t, "nodes stand")
+	text, err := os.ReadFile(filepath.Join(dir, "agent-0.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cfg struct{ Listen string }
+	if err := json.Unmarshal(text, &cfg); err != nil {
+		t.Fatal(err)
+	}
+	program := exec.CommandContext(ctx, os.Args[0], "agent") // a process: it sets limits for all of it
+	program.Env, program.Stderr = append(os.Environ(), "PROXY_CONFIG="+filepath.Join(dir, "agent-0.json")), &agent
+	if err := program.Start(); err != nil {
+		t.Fatal(err)
+	}
+	all.Go(func() { program.Wait() })
+	agent.until(t, "listening")
+	file = filepath.Join(dir, "load.toml")
+	if err := os.WriteFile(file, []byte("targets = [\""+cfg.Listen+"\"]\n[day]\nlength = \"1s\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code := run(ctx, []string{"load", file}, &load, &load); code != 0 || !strings.Contains(load.String(), "completed 2") {
+		t.Errorf("code %d\n%s", code, load.String())
+	}
+}
