--- a/cmd/ryeweir/demo.go
+++ b/cmd/ryeweir/demo.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -93,18 +95,24 @@
 	return os.Rename(file+".part", file)
 }
 
+// printFigures prints how requests ended, the service and the latencies of each class.
+func printFigures(out io.Writer, o lab.Outcome) {
+	a := o.Account
+	fmt.Fprintf(out, "requests %d  completed %d  rejected %d  failed %d  unanswered %d\n", a.Requests, a.Completed, a.Rejected, a.Failed, a.Unanswered)
+	fmt.Fprintf(out, "service %.3f  worst 10 s %.3f\n", o.Whole, o.WorstWindow)
+	for _, name := range slices.Sorted(maps.Keys(o.Latency)) {
+		p := o.Latency[name]
+		fmt.Fprintf(out, "%-14s p50 %.1f ms  p90 %.1f ms  p99 %.1f ms  p99.9 %.1f ms  (%d served)\n", name, p.P50, p.P90, p.P99, p.P999, p.Count)
+	}
+}
+
 // printOutcome prints the account and the verdict.
 func printOutcome(out io.Writer, o lab.Outcome) {
 	a := o.Account
-	fmt.Fprintf(out, "\nrequests %d  completed %d  rejected %d  failed %d  unanswered %d\n", a.Requests, a.Completed, a.Rejected, a.Failed, a.Unanswered)
+	fmt.Fprintln(out)
+	printFigures(out, o)
+	fmt.Fprintf(out, "attempts per request %.3f  wasted work %.1f%%  agents' CPU %.0f us a request\n", o.Attempts, 100*o.Waste, o.CPU)
 	fmt.Fprintf(out, "lost %d  duplicates %d  after_drain %d  toppled %d\n", a.Lost, a.Duplicates, a.AfterDrain, a.Toppled)
-	fmt.Fprintf(out, "service %.3f  worst 10 s %.3f  attempts per request %.3f  wasted work %.1f%%  agents' CPU %.0f us a request\n",
-		o.Whole, o.WorstWindow, o.Attempts, 100*o.Waste, o.CPU)
-	for name, p := range o.Latency {
-		if name != "all" {
-			fmt.Fprintf(out, "%-14s p50 %.1f ms  p90 %.1f ms  p99 %.1f ms  p99.9 %.1f ms  (%d served)\n", name, p.P50, p.P90, p.P99, p.P999, p.Count)
-		}
-	}
 	for _, b := range o.Breaches {
 		fmt.Fprintln(out, "BROKEN:", b)
 	}
--- a/cmd/ryeweir/lab.go
+++ b/cmd/ryeweir/lab.go
@@ -197,7 +197,7 @@
 					return err
 				}
 			}
-			printLoad(c, o)
+			printFigures(c.OutOrStdout(), o)
 			return nil
 		},
 	}
@@ -207,15 +207,6 @@
 	return c
 }
 
-func printLoad(c *cobra.Command, o lab.Outcome) {
-	a, out := o.Account, c.OutOrStdout()
-	fmt.Fprintf(out, "requests %d  completed %d  rejected %d  failed %d  unanswered %d\n", a.Requests, a.Completed, a.Rejected, a.Failed, a.Unanswered)
-	fmt.Fprintf(out, "service %.3f  worst 10 s %.3f\n", o.Whole, o.WorstWindow)
-	for name, p := range o.Latency {
-		fmt.Fprintf(out, "%-14s p50 %.1f ms  p90 %.1f ms  p99 %.1f ms  p99.9 %.1f ms  (%d served)\n", name, p.P50, p.P90, p.P99, p.P999, p.Count)
-	}
-}
-
 // proxyCommand is the plain reverse proxy that load --compare sets the agent beside.
 func proxyCommand() *cobra.Command {
 	var listen string
--- /dev/null
+++ b/internal/agent/scripted_test.go
@@ -0,0 +1,110 @@
+package agent_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ryeweir/internal/agent"
+	"ryeweir/internal/world"
+	"ryeweir/internal/world/discovery"
+	"ryeweir/internal/world/link"
+	"ryeweir/internal/world/peer"
+)
+
+// A backend that does exactly what a script says: what the client gets, and how often the backend was asked.
+func TestScriptedBackend(t *testing.T) {
+	fine := []peer.Step{peer.Forever(peer.Request(), peer.Send(peer.OK("fine")))}
+	for name, c := range map[string]struct {
+		method, path string
+		scripts      [][]peer.Step
+		status       int
+		body         string
+		seen         int
+	}{
+		"byte by byte":               {http.MethodPost, "/place-order", [][]peer.Step{{peer.Request(), peer.Drip(peer.OK("slowly"), time.Millisecond), peer.Silence()}}, 200, "slowly", 1},
+		"interim answers":            {http.MethodPost, "/place-order", [][]peer.Step{{peer.Request(), peer.Send("HTTP/1.1 103 Early Hints\r\n\r\n"), peer.Wait(5 * time.Millisecond), peer.Send(peer.OK("final")), peer.Silence()}}, 200, "final", 1},
+		"a reset, safe to repeat":    {http.MethodGet, "/price-basket", [][]peer.Step{{peer.Request(), peer.Reset()}, fine}, 200, "fine", 2},
+		"a reset, never twice":       {http.MethodPost, "/place-order", [][]peer.Step{{peer.Request(), peer.Reset()}, fine}, 502, "", 1},
+		"a close, never twice":       {http.MethodPost, "/place-order", [][]peer.Step{{peer.Request(), peer.Close()}, fine}, 502, "", 1},
+		"half a head, never twice":   {http.MethodPost, "/place-order", [][]peer.Step{{peer.Request(), peer.Send("HTTP/1.1 200 OK\r\nConte"), peer.Close()}, fine}, 502, "", 1},
+		"half a body, never twice":   {http.MethodPost, "/place-order", [][]peer.Step{{peer.Request(), peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), peer.Close()}, fine}, 502, "", 1},
+		"turned away, so once more":  {http.MethodPost, "/place-order", [][]peer.Step{{peer.Request(), peer.Send("HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), peer.Request(), peer.Send(peer.OK("now")), peer.Silence()}}, 200, "now", 2},
+		"silence ends in time":       {http.MethodPost, "/place-order", [][]peer.Step{{peer.Request(), peer.Silence()}}, 502, "", 1},
+		"broken before it was whole": {http.MethodPost, "/place-order", [][]peer.Step{{peer.Bytes("POST /place-order"), peer.Reset()}, fine}, 502, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				network := link.NewNetwork(1)
+				l, err := network.Listen("node:80")
+				if err != nil {
+					t.Fatal(err)
+				}
+				p := peer.New(l, c.scripts...)
+				defer p.Close()
+				got, body := ask(t, network, c.method, c.path)
+				if got != c.status || body != c.body || len(p.Seen()) != c.seen || p.Trouble() != nil {
+					t.Errorf("%d %q, asked %d times, %v", got, body, len(p.Seen()), p.Trouble())
+				}
+			})
+		})
+	}
+}
+
+// ask runs an agent that knows one backend, at node:80, and sends it one request.
+func ask(t *testing.T, network *link.Network, method, path string) (status int, body string) {
+	spec := usualDay()
+	day, err := spec.Draw(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := discovery.List{Version: 1, Full: true, Servers: []discovery.Entry{{ID: "node", Addr: "node:80", Zone: "colombo", State: discovery.Ready, Weight: 1}}}
+	text, err := day.AgentConfig(0, "127.0.0.1:80", "", "nowhere:1", world.DefaultLimits(), &known)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := agent.CheckConfig("config.json", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients, err := network.Listen("agent:80")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- agent.Run(ctx, cfg, agent.Reloads{}, agent.Sockets{Clients: clients, Dial: network.Dialer("agent")}, slog.New(slog.DiscardHandler))
+	}()
+	defer func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}()
+	time.Sleep(time.Second)
+	req, err := http.NewRequest(method, "http://agent:80"+path, strings.NewReader(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]string{"X-Request-ID": "00000000000000aa", "X-Tenant-Id": "kottu-run", "X-Timeout": "800m"} {
+		req.Header.Set(name, value)
+	}
+	transport := &http.Transport{DialContext: network.Dialer("app"), DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(got)
+}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -25,6 +25,7 @@
 const (
 	plotWidth  = 8 * vg.Inch
 	plotHeight = 2.6 * vg.Inch
+	legendRoom = 1.18 // of the time axis: what is past the end has the names of the lines
 )
 
 // palette tells arms apart, also for those who see few colours (Okabe and Ito).
@@ -133,13 +134,16 @@
 		}
 		out = append(out, named{day + "-" + arm + "-load", load})
 	}
+	for _, p := range out {
+		p.plot.X.Max *= legendRoom
+	}
 	return out
 }
 
 func newPlot(title, y string) *plot.Plot {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "seconds", y
-	p.Legend.Top, p.Legend.Left = false, true
+	p.Legend.Top = true
 	p.Legend.TextStyle.Font.Size = vg.Points(7)
 	p.Add(plotter.NewGrid())
 	return p
@@ -187,7 +191,7 @@
 func (s shade) Plot(c draw.Canvas, p *plot.Plot) {
 	x, _ := p.Transforms(&c)
 	a, b := x(s.from), x(s.to)
-	c.FillPolygon(color.RGBA{200, 60, 60, 28}, []vg.Point{{X: a, Y: c.Min.Y}, {X: b, Y: c.Min.Y}, {X: b, Y: c.Max.Y}, {X: a, Y: c.Max.Y}})
+	c.FillPolygon(color.NRGBA{200, 60, 60, 28}, []vg.Point{{X: a, Y: c.Min.Y}, {X: b, Y: c.Min.Y}, {X: b, Y: c.Max.Y}, {X: a, Y: c.Max.Y}})
 	style := p.Legend.TextStyle
 	style.Font.Size = vg.Points(6)
 	style.Rotation = 1.5708
--- a/internal/world/link/datagram.go
+++ b/internal/world/link/datagram.go
@@ -113,31 +113,14 @@
 			p.waiting = p.waiting[1:]
 			return copy(b, d.data), Addr(d.from), nil
 		}
-		next := p.readBy
-		if len(p.waiting) > 0 && (next.IsZero() || p.waiting[0].due.Before(next)) {
+		var next time.Time
+		if len(p.waiting) > 0 {
 			next = p.waiting[0].due
 		}
-		p.wait(next)
+		wait(&p.mu, p.changed, p.readBy, next)
 	}
 }
 
-// wait waits for a change, or until a time that is not zero. The lock is held before and after.
-func (p *PacketConn) wait(until time.Time) {
-	var over <-chan time.Time
-	if !until.IsZero() {
-		t := time.NewTimer(time.Until(until))
-		defer t.Stop()
-		over = t.C
-	}
-	changed := p.changed
-	p.mu.Unlock()
-	select {
-	case <-changed:
-	case <-over:
-	}
-	p.mu.Lock()
-}
-
 // Lost is how many datagrams found the socket full.
 func (p *PacketConn) Lost() int {
 	p.mu.Lock()
--- a/internal/world/link/pipe.go
+++ b/internal/world/link/pipe.go
@@ -51,9 +51,8 @@
 	p.changed = make(chan struct{})
 }
 
-// wait waits for a change, or until a time where one is given. The lock is held before and after.
-func (p *pipe) wait(until ...time.Time) {
-	var timer *time.Timer
+// wait waits for a change, or until the first of the times that are not zero. The lock is held before and after.
+func wait(lock *sync.Mutex, changed <-chan struct{}, until ...time.Time) {
 	var over <-chan time.Time
 	var first time.Time
 	for _, t := range until {
@@ -62,17 +61,16 @@
 		}
 	}
 	if !first.IsZero() {
-		timer = time.NewTimer(time.Until(first))
+		timer := time.NewTimer(time.Until(first))
 		defer timer.Stop()
 		over = timer.C
 	}
-	changed := p.changed
-	p.mu.Unlock()
+	lock.Unlock()
+	defer lock.Lock()
 	select {
 	case <-changed:
 	case <-over:
 	}
-	p.mu.Lock()
 }
 
 // due is when n bytes arrive that are sent now. What is sent into a cut is later than it, also with no delay. The lock is
@@ -157,7 +155,7 @@
 		if len(p.pieces) > 0 {
 			next = p.pieces[0].due
 		}
-		p.wait(p.readBy, p.pending(next), p.pending(p.broken))
+		wait(&p.mu, p.changed, p.readBy, p.pending(next), p.pending(p.broken))
 	}
 }
 
@@ -175,7 +173,7 @@
 		case !p.writeBy.IsZero() && !now.Before(p.writeBy):
 			return n, os.ErrDeadlineExceeded
 		case p.under >= window:
-			p.wait(p.writeBy)
+			wait(&p.mu, p.changed, p.writeBy)
 			continue
 		}
 		part := b[:min(len(b), window-p.under)]
