--- a/cmd/ryeweir/demo.go
+++ b/cmd/ryeweir/demo.go
@@ -113,6 +113,9 @@
 	printFigures(out, o)
 	fmt.Fprintf(out, "attempts per request %.3f  wasted work %.1f%%  agents' CPU %.0f us a request\n", o.Attempts, 100*o.Waste, o.CPU)
 	fmt.Fprintf(out, "lost %d  duplicates %d  after_drain %d  toppled %d\n", a.Lost, a.Duplicates, a.AfterDrain, a.Toppled)
+	if r := o.Rude; r.Clients > 0 {
+		fmt.Fprintf(out, "rude clients %d, of which %d were served and %d got neither an error nor a close\n", r.Clients, r.Served, r.Ignored)
+	}
 	for _, b := range o.Breaches {
 		fmt.Fprintln(out, "BROKEN:", b)
 	}
--- a/internal/lab/outcome.go
+++ b/internal/lab/outcome.go
@@ -64,6 +64,7 @@
 	CPU         float64                `json:"agent_cpu_us_per_request,omitempty"` // of all agents' processes
 	Skipped     int                    `json:"skipped"`                            // calls that found too many open
 	Lag         float64                `json:"lag_ms"`                             // the latest that a call was sent after its time
+	Rude        callers.RudeFigures    `json:"rude"`                               // clients that sent no requests
 	Interrupted bool                   `json:"interrupted,omitempty"`
 	Series      Series                 `json:"series"`
 	Marks       []world.Mark           `json:"marks"`
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -62,6 +62,11 @@
 	watching, stop := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	all.Go(func() { p.watch(watching, watch) })
+	if rate := day.Spec.Clients.Rude; rate > 0 {
+		for _, a := range p.agents {
+			all.Go(func() { p.rude(callers.Rude(watching, w.Net.Dialer(""), a.Addr, rate)) })
+		}
+	}
 	calls, figures := w.Call(ctx, p.route, len(arm.Command) == 0, p.ended)
 	stop()
 	all.Wait()
@@ -72,7 +77,7 @@
 	t := tallied{day: day, calls: calls, figures: figures, account: w.Referee.Account(), kept: w.Referee.Breaches(),
 		nodes: nodeFigures(w.States()), lists: w.Discovered().Whole + w.Discovered().Watches, load: p.load, marks: w.Marks()}
 	o = t.sum(arm.Name, false)
-	o.Interrupted = ctx.Err() != nil
+	o.Rude, o.Interrupted = p.rudeness, ctx.Err() != nil
 	if n := t.account.Requests; n > 0 {
 		o.CPU = float64(p.cpu.Microseconds()) / float64(n)
 	}
@@ -87,8 +92,9 @@
 	load    [][]float64
 	choices []*choices
 
-	mu      sync.Mutex
-	clients []*callers.Client
+	mu       sync.Mutex
+	rudeness callers.RudeFigures
+	clients  []*callers.Client
 	fresh   []referee.Call // that ended since the last look
 }
 
@@ -141,6 +147,15 @@
 	}
 }
 
+// rude adds up what rude clients got.
+func (p *play) rude(f callers.RudeFigures) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rudeness.Clients += f.Clients
+	p.rudeness.Served += f.Served
+	p.rudeness.Ignored += f.Ignored
+}
+
 // watch notes the nodes' load each second, and shows what has come of the day.
 func (p *play) watch(ctx context.Context, show func(Live)) {
 	began := time.Now()
--- a/internal/world/callers/rude.go
+++ b/internal/world/callers/rude.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -8,15 +9,13 @@
 	"strings"
 	"sync"
 	"time"
-
-	"bufio"
 )
 
 // RudeFigures are what came of rude clients.
 type RudeFigures struct {
-	Clients int
-	Served  int // got a 2xx for what is no request
-	Ignored int // got neither an error nor a close in time
+	Clients int `json:"clients"`
+	Served  int `json:"served"`  // got a 2xx for what is no request
+	Ignored int `json:"ignored"` // got neither an error nor a close in time
 }
 
 // rudeText is what they send, each on a connection of its own.
--- a/internal/world/callers/run.go
+++ b/internal/world/callers/run.go
@@ -35,7 +35,6 @@
 const (
 	defaultMost = 20_000
 	slowPace    = 40 * time.Millisecond // 8 pieces: a request takes 280 ms to write
-	tenantless  = ""
 )
 
 // Figures are what a run says of itself.
@@ -153,7 +152,7 @@
 }
 
 func (r *run) message(j *Journey, wait time.Duration) Message {
-	m := Message{ID: ID(r.Prefix, j.Number, j.Tries), Class: j.Class.Name, Tenant: tenantless, Key: j.Key, Once: j.Class.Once,
+	m := Message{ID: ID(r.Prefix, j.Number, j.Tries), Class: j.Class.Name, Key: j.Key, Once: j.Class.Once,
 		Timeout: wait, Hint: j.Hint, Work: j.Work, Answer: r.Answer, Body: r.body}
 	if j.Tenant >= 0 {
 		m.Tenant = r.Tenants[j.Tenant].Name
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -59,8 +59,7 @@
 	all      sync.WaitGroup
 
 	mu    sync.Mutex
-	ids   []string             // of the nodes' present lives
-	addrs []string             // and where they listen
+	addrs []string             // where the nodes listen
 	paths map[[2]string]string // agent and a node's address: where the agent reaches it
 	lives int
 	begin time.Duration // when the day began
@@ -97,7 +96,7 @@
 	for i, spec := range w.Day.Nodes {
 		first := true
 		host := spec.ID
-		w.ids, w.addrs = append(w.ids, spec.ID), append(w.addrs, "")
+		w.addrs = append(w.addrs, "")
 		cfg := backend.Config{Epoch: w.Epoch, Watch: w.Referee, Strict: strict, IdleFor: IdleLimit, Via: "pull", Fields: []string{"qps", "util"}}
 		cfg.Listen = func() (net.Listener, error) {
 			if !first {
@@ -265,7 +264,6 @@
 		if p.Kind == node.Replace {
 			spec.ID = fmt.Sprintf("%s-%d", spec.ID, w.lives)
 		}
-		w.ids[p.Node] = spec.ID
 		w.mu.Unlock()
 		spec.Started = w.Now()
 		if err := b.Restart(spec, w.Day.Seed*1000+uint64(len(w.backends)+p.Node)); err != nil {
@@ -312,9 +310,6 @@
 	return out
 }
 
-// Addrs is where the nodes listen, in the order of States.
-func (w *World) Addrs() []string { return slices.Clone(w.addrs) }
-
 // Discovered counts discovery's calls.
 func (w *World) Discovered() discovery.Figures { return w.disco.Figures() }
 
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -25,7 +25,6 @@
 // badAgent is an agent of a few lines that breaks a rule on purpose, or none.
 type badAgent struct {
 	w       *world.World
-	network *link.Network
 	turn    atomic.Int64
 	vice    string
 	client  http.Client
@@ -98,7 +97,7 @@
 		}
 		defer w.Close()
 		transport := &http.Transport{DialContext: network.Dialer("agent-0"), MaxIdleConnsPerHost: 100}
-		bad := &badAgent{w: w, network: network, vice: vice, client: http.Client{Transport: transport, Timeout: 5 * time.Second}}
+		bad := &badAgent{w: w, vice: vice, client: http.Client{Transport: transport, Timeout: 5 * time.Second}}
 		l, err := network.Listen("agent-0:80")
 		if err != nil {
 			t.Fatal(err)
