Set one timer for the earliest deadline in place of one for each request

Cause: each request set a timer for its deadline, which fired long after the answer and woke the agent's process once more for each request. Now the module keeps open requests in a heap and one timer for the earliest deadline.

--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -95,7 +95,7 @@
 	mu       sync.Mutex
 	rudeness callers.RudeFigures
 	clients  []*callers.Client
-	fresh   []referee.Call // that ended since the last look
+	fresh    []referee.Call // that ended since the last look
 }
 
 func (p *play) startAgents(ctx context.Context, dir string) error {
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -24,11 +24,11 @@
 
 // badAgent is an agent of a few lines that breaks a rule on purpose, or none.
 type badAgent struct {
-	w       *world.World
-	turn    atomic.Int64
-	vice    string
-	client  http.Client
-	open    sync.WaitGroup
+	w      *world.World
+	turn   atomic.Int64
+	vice   string
+	client http.Client
+	open   sync.WaitGroup
 }
 
 // pass sends a request on to a node of the list as it was at the start.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"hash/fnv"
 	"io"
 	"math"
@@ -49,11 +50,11 @@
 	reportTime  = 4    // horizons over which reports are averaged
 )
 
-// Tokens of the timers that belong to no request.
+// Tokens of the timers.
 const (
 	tickToken uint64 = iota
 	subscribeToken
-	firstToken
+	deadlineToken // and all above: the latest that was set counts
 )
 
 // New returns a Balancer. Its random numbers follow from the seed alone.
@@ -62,8 +63,8 @@
 		return nil, err
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), byID: map[string]*server{},
-		requests: map[string]*request{}, timers: map[uint64]*request{}, token: firstToken,
-		asked: make([]float64, len(set.Shares)), budget: retrySaved, trialBy: Unsafe}
+		requests: map[string]*request{},
+		asked:    make([]float64, len(set.Shares)), budget: retrySaved, trialBy: Unsafe}
 	for _, c := range set.Classes {
 		b.usual = append(b.usual, float64(c.Aim)/4)
 		b.horizon = max(b.horizon, c.Aim)
@@ -92,11 +93,8 @@
 	case subscribeToken:
 		b.asking = false
 		b.act(Action{Kind: Subscribe})
-	default:
-		if r := b.timers[token]; r != nil {
-			delete(b.timers, token)
-			b.finish(r)
-		}
+	case deadlineToken + b.arms:
+		b.endDue()
 	}
 }
 
@@ -570,11 +568,29 @@
 	}
 }
 
-// limit sets the timer for the request's deadline.
+// limit sees to it that the request ends at its deadline at the latest.
 func (b *Balancer) limit(r *request) {
-	b.token++
-	r.token, b.timers[b.token] = b.token, r
-	b.timer(b.token, r.Deadline-b.now)
+	heap.Push(&b.open, r)
+	b.arm()
+}
+
+// arm sets the timer for the earliest deadline, unless one as early is set. One for each request would wake
+// the agent as often as requests come, long after most of them are answered.
+func (b *Balancer) arm() {
+	if len(b.open) > 0 && (b.armed == 0 || b.open[0].Deadline < b.armed) {
+		b.arms++
+		b.armed = b.open[0].Deadline
+		b.timer(deadlineToken+b.arms, b.armed-b.now)
+	}
+}
+
+// endDue ends the requests whose deadline has come.
+func (b *Balancer) endDue() {
+	for len(b.open) > 0 && b.open[0].Deadline <= b.now {
+		b.finish(b.open[0]) // which takes it out
+	}
+	b.armed = 0
+	b.arm()
 }
 
 // received takes the end of a request that was sent on as it came in: only now does its server owe an answer.
@@ -680,11 +696,12 @@
 	b.close(r)
 }
 
-// close marks the request as ended; it is kept while attempts are in flight. Its timer still fires, but finds
-// nothing: else all requests of the last seconds would be held until theirs did.
+// close marks the request as ended; it is kept while attempts are in flight.
 func (b *Balancer) close(r *request) {
+	if r.limited {
+		heap.Remove(&b.open, r.place)
+	}
 	r.closed = true
-	delete(b.timers, r.token)
 	if r.out == 0 {
 		delete(b.requests, r.ID)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -949,7 +951,7 @@
 			answers := 0
 			for _, k := range order {
 				e := []Event{Outcome{Request: id, Server: to, Result: result, Closed: result == OK, Report: NoReport},
-					ClientGone{id}, TimerFired{h.token}}[k]
+					ClientGone{id}, TimerFired{deadlineToken + h.arms}}[k]
 				for _, a := range h.Handle(h.at, e) {
 					switch a.Kind {
 					case Send:
@@ -1090,3 +1092,51 @@
 		t.Errorf("with the trial under way a request went to %q", to)
 	}
 }
+
+// Guards against a deadline that is missed, or a timer for each request: the timer for the earliest deadline stands for
+// all, also when an earlier one comes later, when its own request ends before it, and when an old timer still fires.
+func TestOneTimerForAllDeadlines(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1)
+	h.Handle(h.at, TimerFired{tickToken})
+	due := map[uint64]time.Duration{}
+	ended := map[string]time.Duration{}
+	do := func(actions []Action) {
+		for _, a := range actions {
+			switch {
+			case a.Kind == SetTimer && a.Token >= deadlineToken:
+				due[a.Token] = h.at + a.After
+			case a.Kind == Refuse || a.Kind == Fail:
+				ended[a.Request] = h.at
+			}
+		}
+	}
+	begin := h.at
+	want := map[string]time.Duration{}
+	for i, in := range []time.Duration{900, 300, 600, 300, 1200} {
+		id := strconv.Itoa(i)
+		want[id] = begin + in*time.Millisecond
+		do(h.Handle(h.at, Request{ID: id, Deadline: want[id]}))
+	}
+	if len(due) != 2 { // for 900, then for 300
+		t.Errorf("%d timers for five requests", len(due))
+	}
+	do(h.Handle(h.at, ClientGone{"2"})) // no timer of its own
+	delete(want, "2")
+	for len(due) > 0 {
+		next := uint64(0)
+		for token, at := range due {
+			if next == 0 || at < due[next] || at == due[next] && token < next {
+				next = token
+			}
+		}
+		h.at = due[next]
+		delete(due, next)
+		do(h.Handle(h.at, TimerFired{next}))
+	}
+	if !maps.Equal(ended, want) {
+		t.Errorf("ended at %v, deadlines %v", ended, want)
+	}
+	if len(h.open) != 0 {
+		t.Errorf("%d are still open", len(h.open))
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -15,20 +15,21 @@
 	servers  []*server // those of the list, in the order it first named them
 	byID     map[string]*server
 	requests map[string]*request // open, or with attempts in flight
-	timers   map[uint64]*request
-	token    uint64
-	subset   int           // how many of the servers get its requests, at least
-	crowd    int           // how many own attempts in flight want
-	horizon  time.Duration // the longest aim: how far back averages over time look
-	usual    []float64     // mean time to an answer, a class each
-	budget   float64       // further attempts that may be made
-	tries    int           // subscriptions that failed in a row
-	asking   bool          // a timer to ask again is set
-	trialBy  Effect        // the least harmful effect among the classes
-	late     float64       // mean time taken over aim
-	sent     float64       // own sends of the last shareTime horizons
-	span     float64       // and the seconds that they took
-	asked    []float64     // requests lately, a tenant each
+	open     deadlines           // requests that have a deadline and have not ended
+	armed    time.Duration       // what the latest timer for them is set for; 0 when none is
+	arms     uint64              // such timers so far
+	subset   int                 // how many of the servers get its requests, at least
+	crowd    int                 // how many own attempts in flight want
+	horizon  time.Duration       // the longest aim: how far back averages over time look
+	usual    []float64           // mean time to an answer, a class each
+	budget   float64             // further attempts that may be made
+	tries    int                 // subscriptions that failed in a row
+	asking   bool                // a timer to ask again is set
+	trialBy  Effect              // the least harmful effect among the classes
+	late     float64             // mean time taken over aim
+	sent     float64             // own sends of the last shareTime horizons
+	span     float64             // and the seconds that they took
+	asked    []float64           // requests lately, a tenant each
 	askedAll float64
 	reports  bool    // some server has reported its load
 	busy     float64 // use of the servers, as they report it
@@ -65,8 +66,9 @@
 	attempts []*attempt
 	out      int // attempts in flight
 	closed   bool
-	spent    bool   // it can't be sent again
-	token    uint64 // of the timer for its deadline; 0 while it has none
+	spent    bool // it can't be sent again
+	limited  bool // it is in the heap of deadlines
+	place    int  // there
 }
 
 type attempt struct {
@@ -79,3 +81,28 @@
 	out      bool
 	neverRan bool
 }
+
+// deadlines is a heap of requests by their deadline, and by id where that is equal.
+type deadlines []*request
+
+func (d deadlines) Len() int { return len(d) }
+func (d deadlines) Less(i, j int) bool {
+	return d[i].Deadline < d[j].Deadline || d[i].Deadline == d[j].Deadline && d[i].ID < d[j].ID
+}
+func (d deadlines) Swap(i, j int) {
+	d[i], d[j] = d[j], d[i]
+	d[i].place, d[j].place = i, j
+}
+func (d *deadlines) Push(x any) {
+	r := x.(*request)
+	r.limited, r.place = true, len(*d)
+	*d = append(*d, r)
+}
+func (d *deadlines) Pop() any {
+	last := len(*d) - 1
+	r := (*d)[last]
+	(*d)[last] = nil
+	*d = (*d)[:last]
+	r.limited = false
+	return r
+}
