--- a/cmd/ryeweir/lab.go
+++ b/cmd/ryeweir/lab.go
@@ -14,7 +14,6 @@
 	"ryeweir/internal/config"
 	"ryeweir/internal/lab"
 	"ryeweir/internal/world"
-	"ryeweir/internal/world/callers"
 )
 
 // readTOML reads and checks one of our files. What is wrong with it has been said when it returns errSaid.
@@ -286,7 +285,6 @@
 	if err != nil {
 		return "", err
 	}
-	habits := callers.Habits(day.Habits)
 	return fmt.Sprintf("%s: day %s of %v, %d nodes, %d agents, %.0f requests a second, clients retry %d times, %d troubles", what, d.Name,
-		day.Length, len(day.Nodes), len(day.Agents), day.Rate, habits.Retries, len(day.Troubles)), nil
+		day.Length, len(day.Nodes), len(day.Agents), day.Rate, day.Habits.Retries, len(day.Troubles)), nil
 }
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -18,12 +18,11 @@
 
 // Process is an agent's process.
 type Process struct {
-	Addr    string // where its clients connect
-	Control string // and its operators
-	cmd     *exec.Cmd
-	log     *os.File
-	ended   chan struct{} // closed when it has ended
-	err     error         // how; read after ended
+	Addr  string // where its clients connect
+	cmd   *exec.Cmd
+	log   *os.File
+	ended chan struct{} // closed when it has ended
+	err   error         // how; read after ended
 }
 
 const (
@@ -72,7 +71,7 @@
 		log.Close()
 		return nil, fmt.Errorf("starting %s: %w", command[0], err)
 	}
-	p := &Process{Addr: listen, Control: control, cmd: cmd, log: log, ended: make(chan struct{})}
+	p := &Process{Addr: listen, cmd: cmd, log: log, ended: make(chan struct{})}
 	go func() {
 		defer close(p.ended)
 		p.err = cmd.Wait()
@@ -107,9 +106,6 @@
 	}
 }
 
-// Pid is the process's number.
-func (p *Process) Pid() int { return p.cmd.Process.Pid }
-
 // Stop ends the agent in order, or after a while by force, and returns the processor time that it took.
 func (p *Process) Stop() (cpu time.Duration, err error) {
 	select {
--- a/internal/world/node/trouble.go
+++ b/internal/world/node/trouble.go
@@ -26,12 +26,9 @@
 	Replace   Kind = "replace"     // dies at From, back at To, cold, under a new id at the same address
 )
 
-// Kinds are all the troubles.
+// kinds are all the troubles.
 var kinds = []Kind{Slow, FastFail, Neighbour, Vanish, ResetConn, IdleClose, Spoil, Oversize, Late, Flap, Drain, Restart, Replace}
 
-// Kinds lists the names of all troubles.
-func Kinds() []Kind { return slices.Clone(kinds) }
-
 // Trouble is something that goes wrong with a node from one time to another.
 type Trouble struct {
 	Kind     Kind
