--- a/cmd/ryeweir/agent.go
+++ b/cmd/ryeweir/agent.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"ryeweir/internal/agent"
+	"ryeweir/internal/config/platform"
 	"ryeweir/internal/handover"
 )
 
@@ -45,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	cfg, err := agent.LoadConfig(os.Getenv)
+	cfg, err := platform.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -61,7 +62,7 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log = log.With("agent", cfg.Name)
-	reloads := agent.Reloads{Signals: hangups, Load: func() (agent.Config, error) { return agent.ReloadConfig(os.Getenv) }}
+	reloads := agent.Reloads{Signals: hangups, Load: func() (platform.Config, error) { return platform.Reload(os.Getenv) }}
 	var sockets agent.Sockets
 	if sockets.Clients, sockets.Inherited, err = handover.Listen(os.Getenv, cfg.Listen); err != nil {
 		return err
--- a/cmd/ryeweir/check.go
+++ b/cmd/ryeweir/check.go
@@ -9,8 +9,8 @@
 
 	"github.com/spf13/cobra"
 
-	"ryeweir/internal/agent"
 	"ryeweir/internal/config"
+	"ryeweir/internal/config/platform"
 )
 
 func checkCommand() *cobra.Command {
@@ -38,7 +38,7 @@
 		return err
 	}
 	if strings.HasSuffix(file, ".json") {
-		cfg, err := agent.CheckConfig(file, data)
+		cfg, err := platform.Check(file, data)
 		if err != nil {
 			return err
 		}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,5 +1,5 @@
-// Package agent puts a real agent round the decision module: clients, backends and discovery on sockets.
-// It carries out what the module decides and tells it what happens.
+// Package agent puts a real agent together: the core with its decision module, a front for clients, an upstream with its
+// pool of connections, discovery, and the operators' address.
 package agent
 
 import (
@@ -10,23 +10,20 @@
 	"sync"
 	"time"
 
-	"ryeweir/internal/connlimit"
+	"ryeweir/internal/config/platform"
 	"ryeweir/internal/control"
+	"ryeweir/internal/core"
+	"ryeweir/internal/discovery"
 	"ryeweir/internal/flow"
-	"ryeweir/internal/framing"
+	fronthttp "ryeweir/internal/front/http"
+	"ryeweir/internal/httpmsg"
 	"ryeweir/internal/metrics"
+	"ryeweir/internal/pool"
+	uphttp "ryeweir/internal/upstream/http"
 	"ryeweir/logic"
 )
 
 const (
-	// New connections come for up to 0.4 s after the signal to end, and the platform kills 0.7 s after the longest
-	// deadline at the soonest. The drain accepts for longer than the one and ends before the other.
-	acceptOn  = 550 * time.Millisecond
-	drainMost = 50 * time.Millisecond // past that deadline
-	drainPoll = 5 * time.Millisecond
-	// The platform waits no longer than for a deadline of this.
-	longestCounted = 3 * time.Second
-
 	sweepEvery   = time.Second
 	spareSockets = 24 // for the listener, discovery, the runtime and files
 	backendShare = 0.45
@@ -42,15 +39,11 @@
 	Clients   net.Listener
 	Inherited bool         // another process may accept what this one does not
 	Control   net.Listener // for operators; nil without an address for them
-	Dial      Dial         // to backends and discovery; nil for the machine's network
+	Dial      pool.Dial    // to servers and discovery; nil for the machine's network
 }
 
-// Dial opens a connection, as net.Dialer's DialContext does. A connection of a network that is not the machine's says by a
-// method Quiet whether it is open with nothing to read, since there is no socket to ask.
-type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // Run serves until the context ends, then drains as the platform's restarts want it. It closes the sockets.
-func Run(ctx context.Context, cfg Config, reloads Reloads, sockets Sockets, log *slog.Logger) error {
+func Run(ctx context.Context, cfg platform.Config, reloads Reloads, sockets Sockets, log *slog.Logger) error {
 	defer sockets.Clients.Close()
 	balancer, err := logic.New(cfg.Site.Logic, cfg.Seed)
 	if err != nil {
@@ -63,9 +56,8 @@
 	defer stop()
 
 	share := shareSockets(cfg.Sockets, sockets)
-	clk := newClock()
-	conns := newPool(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, share.toBackends, sockets.Dial)
-	var badReport sync.Once
+	clock := core.NewClock()
+	conns := pool.New(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, share.toBackends, sockets.Dial, uphttp.Wrap)
 	var classes []string
 	for _, c := range cfg.Site.Logic.Classes {
 		classes = append(classes, c.Name)
@@ -76,35 +68,30 @@
 		memory /= 2
 	}
 	budget := flow.NewBudget(int64(memory))
-	loop := newLoop(balancer, clk, conns, &sender{pool: conns, clock: clk, budget: budget, fields: cfg.Site.ReportFields, sent: figures.Sent,
-		noted: func(err error) {
+	var badReport sync.Once
+	upstream := &uphttp.Upstream{Pool: conns, Clock: clock, Budget: budget, Fields: cfg.Site.ReportFields, Sent: figures.Sent,
+		Noted: func(err error) {
 			badReport.Do(func() { log.Warn("passing over a malformed report; further ones are not logged", "error", err) })
-		}}, figures, log)
-	disco := newDiscovery(cfg, clk, sockets.Dial, loop.tell, log)
-	loop.subscribe = disco.ask
-	s := newServer(cfg, loop, clk, share.fromClients, figures, log)
-	s.budget = budget
-	clients := connlimit.New(framing.Listener{Listener: sockets.Clients}, share.fromClients)
-	s.crowded = clients.Crowded
+		}}
+	var disco *discovery.Client
+	c := core.New(core.Config{Balancer: balancer, Clock: clock, Upstream: upstream, Upload: httpmsg.LongestUpload,
+		Subscribe: func() { disco.Ask() }, Members: figures.SetMembers, Log: log})
+	disco = discovery.New(discovery.Config{Addr: cfg.Discovery, Agents: cfg.Site.Logic.Balancers, Asked: cfg.Site.Logic.Subscribe,
+		Zones: cfg.Site.Zones, Known: cfg.Known, Seed: cfg.Seed, Clock: clock, Dial: sockets.Dial, Sink: c, Log: log})
+	front := fronthttp.New(fronthttp.Config{Site: cfg.Site, Core: c, Clock: clock, Metrics: figures, Budget: budget,
+		Most: share.fromClients, AcceptFor: cfg.AcceptFor, Log: log})
 	if sockets.Control != nil {
 		parts.Go(func() {
-			if err := control.Serve(inner, sockets.Control, s, figures, log); err != nil {
+			if err := control.Serve(inner, sockets.Control, front, figures, log); err != nil {
 				log.Error("operators are served no more", "error", err)
 			}
 		})
 	}
-	parts.Go(func() { loop.run(inner) })
-	parts.Go(func() { every(inner, sweepEvery, conns.sweep) })
-	parts.Go(func() { disco.run(inner) })
+	parts.Go(func() { c.Run(inner) })
+	parts.Go(func() { every(inner, sweepEvery, conns.Sweep); conns.Close() })
+	parts.Go(func() { disco.Run(inner) })
 	parts.Go(func() { reloads.follow(inner, cfg, disco, log) })
-	parts.Go(func() {
-		every(inner, drainSweep, func() {
-			if s.phase.leaving() {
-				clients.CloseIdle(drainIdle)
-			}
-		})
-	})
-	return s.serve(ctx, clients, sockets.Inherited)
+	return front.Serve(ctx, sockets.Clients, sockets.Inherited)
 }
 
 // shares says how many connections there may be.
@@ -129,46 +116,6 @@
 	return shares{toBackends, room - toBackends}
 }
 
-// serve answers clients until the context ends and what was taken by then is answered.
-func (s *server) serve(ctx context.Context, l *connlimit.Listener, inherited bool) error {
-	srv := s.httpServer()
-	defer srv.Close()
-	if inherited { // what this process does not accept yet, the one before it does
-		select {
-		case <-s.loop.listed:
-		case <-ctx.Done():
-			return nil
-		}
-	}
-	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(l) }()
-	s.accepting.Store(true)
-	s.log.Info("listening", "addr", l.Addr().String(), "inherited", inherited)
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serving clients: %w", err)
-	case <-ctx.Done():
-	}
-	s.log.Info("draining")
-	var longest time.Duration
-	for _, c := range s.site.Logic.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.acceptFor+min(longest, longestCounted)+drainMost)
-	defer cancel()
-	s.phase.end()
-	if !inherited { // else the process that follows accepts, and what this one took from it would come late
-		sleep(limited, s.acceptFor)
-	}
-	l.Close()
-	<-failed
-	for l.Len() > 0 && limited.Err() == nil {
-		sleep(limited, drainPoll)
-	}
-	s.log.Info("drained", "open", l.Len())
-	return nil
-}
-
 // every calls f at intervals until the context ends.
 func every(ctx context.Context, interval time.Duration, f func()) {
 	t := time.NewTicker(interval)
--- a/internal/agent/config.go
+++ b/internal/config/platform/platform.go
@@ -1,4 +1,5 @@
-package agent
+// Package platform reads what the platform tells an agent: the file that PROXY_CONFIG names, and the environment.
+package platform
 
 import (
 	"bytes"
@@ -13,6 +14,7 @@
 	"time"
 
 	"ryeweir/internal/config"
+	"ryeweir/internal/discovery"
 	"ryeweir/internal/wire"
 	"ryeweir/logic"
 )
@@ -29,8 +31,8 @@
 	Sockets   int // file descriptors that the process may hold
 	Site      wire.Site
 
-	known     list
-	acceptFor time.Duration
+	Known     discovery.List // the servers that an earlier life of the agent knew
+	AcceptFor time.Duration  // new clients are accepted for so long after the signal to end
 }
 
 // configFile is the form of the file that PROXY_CONFIG names.
@@ -49,14 +51,18 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
+// AcceptOn is how long clients are accepted after the signal to end: new connections come for up to 0.4 s after it, and the
+// platform kills 0.7 s after the longest deadline at the soonest.
+const AcceptOn = 550 * time.Millisecond
+
 // Limits that hold where the configuration states none.
 const (
 	defaultSockets  = 1024
 	defaultMemoryMB = 192
 )
 
-// LoadConfig reads the configuration that the environment points to.
-func LoadConfig(getenv func(string) string) (Config, error) {
+// Load reads the configuration that the environment points to.
+func Load(getenv func(string) string) (Config, error) {
 	path := getenv("PROXY_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("PROXY_CONFIG is not set")
@@ -65,17 +71,17 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("reading the configuration: %w", err)
 	}
-	cfg, err := parseConfig(data, getenv)
+	cfg, err := Parse(data, getenv)
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	return cfg, nil
 }
 
-// ReloadConfig reads the file again. It has been replaced since the process started and the environment has not, so
+// Reload reads the file again. It has been replaced since the process started and the environment has not, so
 // that the file's address of discovery goes first.
-func ReloadConfig(getenv func(string) string) (Config, error) {
-	return LoadConfig(func(variable string) string {
+func Reload(getenv func(string) string) (Config, error) {
+	return Load(func(variable string) string {
 		if variable == "PROXY_DISCOVERY" {
 			return ""
 		}
@@ -83,8 +89,8 @@
 	})
 }
 
-// parseConfig decodes and checks the file's text. Variables that are set go before it.
-func parseConfig(data []byte, getenv func(string) string) (cfg Config, err error) {
+// Parse decodes and checks the file's text. Variables that are set go before it.
+func Parse(data []byte, getenv func(string) string) (cfg Config, err error) {
 	var f configFile
 	if err := json.Unmarshal(data, &f); err != nil {
 		return cfg, err
@@ -97,7 +103,7 @@
 	}
 	cfg = Config{Name: prefer("PROXY_NAME", f.Name), Listen: prefer("PROXY_LISTEN", f.Listen),
 		Discovery: prefer("PROXY_DISCOVERY", f.Discovery), Control: prefer("PROXY_CONTROL", f.Control), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
-		Sockets: f.Limits.Sockets, acceptFor: acceptOn}
+		Sockets: f.Limits.Sockets, AcceptFor: AcceptOn}
 	if cfg.Sockets <= 0 {
 		cfg.Sockets = defaultSockets
 	}
@@ -122,7 +128,7 @@
 		return cfg, fmt.Errorf("settings: %w", err)
 	}
 	if len(f.Known) > 0 {
-		if cfg.known, err = parseList(f.Known); err != nil {
+		if cfg.Known, err = discovery.ParseList(f.Known); err != nil {
 			return cfg, fmt.Errorf("known: %w", err)
 		}
 	}
@@ -146,14 +152,14 @@
 	return site, nil
 }
 
-// CheckConfig checks the text of a configuration file as the agent would read it without an environment. Errors name file,
+// Check checks the text of a configuration file as the agent would read it without an environment. Errors name file,
 // line and key as far as they have them.
-func CheckConfig(file string, data []byte) (Config, error) {
+func Check(file string, data []byte) (Config, error) {
 	var f configFile
 	if err := config.JSON(file, data, &f); err != nil {
 		return Config{}, err
 	}
-	cfg, err := parseConfig(data, func(string) string { return "" })
+	cfg, err := Parse(data, func(string) string { return "" })
 	if err != nil {
 		key, rest, ok := strings.Cut(err.Error(), ": ")
 		at := bytes.Index(data, []byte(`"`+key+`"`))
@@ -173,7 +179,7 @@
 	}
 	fmt.Fprintf(w, "agent %s: clients at %s, operators at %s, discovery at %s\n", cfg.Name, cfg.Listen, control, cfg.Discovery)
 	fmt.Fprintf(w, "limits: %g cores, %d MB, %d descriptors\n", cfg.Cores, cfg.MemoryMB, cfg.Sockets)
-	fmt.Fprintf(w, "fleet: agent %d of %d; %d backends known from before\n", cfg.Site.Logic.Me, cfg.Site.Logic.Balancers, len(cfg.known.Servers))
+	fmt.Fprintf(w, "fleet: agent %d of %d; %d backends known from before\n", cfg.Site.Logic.Me, cfg.Site.Logic.Balancers, len(cfg.Known.Servers))
 	effects := map[logic.Effect]string{logic.Safe: "safe to repeat", logic.Keyed: "carries a key", logic.Unsafe: "must never run twice"}
 	for _, c := range cfg.Site.Logic.Classes {
 		fmt.Fprintf(w, "class %s: %s, wanted within %v, deadline %v, worth %g\n", c.Name, effects[c.Effect], c.Aim, c.Deadline, c.Worth)
--- /dev/null
+++ b/internal/core/attempt.go
@@ -0,0 +1,130 @@
+package core
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"ryeweir/logic"
+)
+
+// Upstream speaks a protocol towards servers and carries out attempts.
+type Upstream interface {
+	// Update takes the list of servers or a change of it, and returns how many are listed and how many of them may get
+	// something new. Nothing new goes to one that may not from the moment that it returns. It must not block.
+	Update(List) (listed, ready int)
+	// Bind returns the present life of a server for an attempt on it, or nil. A server that starts anew or moves has another
+	// life, which gets nothing that was meant for the one before. It must not block.
+	Bind(server string) any
+	// Try carries out the attempt: it reports one outcome by the time that a.Until states, and may go on to bring in a long
+	// answer after that. What may have run is never said not to have. It never sends again by itself. When the context ends
+	// it ends too.
+	Try(ctx context.Context, a *Attempt)
+}
+
+// Attempt is one Send of the module: a call on its way to one server.
+type Attempt struct {
+	Call    *Call
+	Number  int // from 0
+	Server  string
+	Target  any           // what Bind returned at the time of the Send
+	Sent    time.Duration // when the module decided on it
+	WriteBy time.Duration // when it is too late to begin: at Until, or earlier for a keyed call sent before
+
+	until   atomic.Int64
+	written atomic.Int64
+	told    atomic.Bool
+	core    *Core
+	tell    func(Outcome) // of one outside a core
+	next    *Attempt      // the one before it of the same call that is in flight
+}
+
+// Until is when the agent stops waiting, on the core's clock.
+func (a *Attempt) Until() time.Duration { return time.Duration(a.until.Load()) }
+
+// Written says that a Partial call has gone on whole. Its time-out runs from then on.
+func (a *Attempt) Written(now time.Duration) {
+	a.written.Store(int64(now))
+	a.until.Store(int64(now + a.Call.Timeout))
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Result  logic.Result
+	Report  logic.Report // of the server's load; logic.NoReport without one
+	Content Content      // of an OK
+	Spent   bool         // the call's message can't be sent again
+}
+
+// Report tells the outcome. Every attempt has exactly one: a further one is counted and dropped.
+func (a *Attempt) Report(o Outcome) {
+	if !a.told.CompareAndSwap(false, true) {
+		if a.core != nil {
+			a.core.faults.Twice.Add(1)
+		}
+		if o.Content != nil {
+			o.Content.Drop()
+		}
+		return
+	}
+	if a.core == nil {
+		a.tell(o)
+		return
+	}
+	a.core.tell(ended{a, o})
+}
+
+// NewAttempt is an attempt outside a core, whose outcome goes to tell: for tests of upstreams and for tools.
+func NewAttempt(call *Call, target any, until, writeBy time.Duration, tell func(Outcome)) *Attempt {
+	a := &Attempt{Call: call, Target: target, WriteBy: writeBy, tell: tell}
+	a.until.Store(int64(until))
+	return a
+}
+
+// try lets the upstream carry out an attempt. One that ends without an outcome may have run.
+func (c *Core) try(ctx context.Context, a *Attempt) {
+	c.upstream.Try(ctx, a)
+	if a.told.CompareAndSwap(false, true) {
+		c.faults.Unreported.Add(1)
+		c.tell(ended{a, Outcome{Result: logic.Reset, Report: logic.NoReport}})
+	}
+}
+
+// attempt is the next attempt of the call.
+func (c *Call) attempt(act logic.Action, now, upload time.Duration) *Attempt {
+	until := c.Deadline
+	if until == 0 { // known when the message has come
+		until = now + upload
+	}
+	if act.After > 0 {
+		until = min(until, now+act.After)
+	}
+	a := &Attempt{Call: c, Number: c.sends, Server: act.Server, Sent: now, WriteBy: until, next: c.flying}
+	a.until.Store(int64(until))
+	if c.ranSince == 0 {
+		c.ranSince = now
+	} else if c.Window > 0 { // the module decides by the time now, but a dial may take until after the window
+		a.WriteBy = min(until, c.ranSince+c.Window)
+	}
+	c.flying = a
+	c.sends++
+	c.out++
+	return a
+}
+
+// ended counts an attempt as over.
+func (c *Call) ended(a *Attempt, result logic.Result) {
+	for at := &c.flying; *at != nil; at = &(*at).next {
+		if *at == a {
+			*at = a.next
+			break
+		}
+	}
+	c.out--
+	switch result {
+	case logic.NotSent, logic.ConnectFailed, logic.Rejected:
+		if c.ranSince == a.Sent {
+			c.ranSince = 0
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/border.go
@@ -0,0 +1,76 @@
+package core
+
+import (
+	"sync/atomic"
+	"time"
+
+	"ryeweir/logic"
+)
+
+// Faults counts where a front or an upstream did not keep to what it owes the core. Each should stay 0. The account holds
+// all the same: every attempt has one outcome, every call one answer.
+type Faults struct {
+	Twice       atomic.Int64 // attempts whose outcome was reported again, or after it was overdue
+	Unreported  atomic.Int64 // attempts that ended without an outcome
+	Overdue     atomic.Int64 // attempts whose outcome did not come in time
+	Unread      atomic.Int64 // answers that no front took
+	Resubmitted atomic.Int64 // calls that were handed over twice
+	Unfinished  atomic.Int64 // partial calls of which nothing more was heard
+}
+
+// Faults are the counts so far.
+func (c *Core) Faults() *Faults { return &c.faults }
+
+const (
+	watchEvery = 500 * time.Millisecond
+	overdueBy  = time.Second     // past the end of its time an attempt's outcome is taken to be unknown
+	takenIn    = 2 * time.Second // a front takes an answer as soon as it is there
+)
+
+// handed is an answer that may not have been taken yet.
+type handed struct {
+	answer chan Answer
+	at     time.Duration
+}
+
+func (c *Core) give(call *Call, a Answer) {
+	call.answer <- a
+	c.given = append(c.given, handed{call.answer, c.clock.Now()})
+}
+
+// watch looks for what fronts and upstreams owe.
+func (c *Core) watch() {
+	now := c.clock.Now()
+	c.cfg.Members(c.members, c.balancer.Unavailable())
+	kept := c.given[:0]
+	for _, h := range c.given {
+		switch {
+		case len(h.answer) == 0:
+		case now-h.at < takenIn:
+			kept = append(kept, h)
+		default:
+			select {
+			case unread := <-h.answer:
+				unread.drop()
+				c.faults.Unread.Add(1)
+			default:
+			}
+		}
+	}
+	clear(c.given[len(kept):])
+	c.given = kept
+	for _, call := range c.calls {
+		if call.Partial && call.Deadline == 0 && !call.over.Load() && now-call.taken > c.cfg.Upload+overdueBy {
+			c.faults.Unfinished.Add(1)
+			c.leave(call)
+		}
+		for a := call.flying; a != nil; {
+			next := a.next
+			if now > a.Until()+overdueBy && a.told.CompareAndSwap(false, true) {
+				c.faults.Overdue.Add(1)
+				c.end(a, Outcome{Result: logic.TimedOut, Report: logic.NoReport})
+			}
+			a = next
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/call.go
@@ -0,0 +1,65 @@
+package core
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Call is what a client asks: what the decisions need, the message itself, and the place for its one answer. A front fills
+// in the exported fields and hands it over with Submit; they are not changed after that.
+type Call struct {
+	ID            string
+	Class, Tenant int           // indices into the settings; a tenant below 0 is none
+	Key           string        // what it is about; may be empty
+	Timeout       time.Duration // how long the answer may take from the message's last byte on
+	Deadline      time.Duration // when that is over, on the core's clock; 0 of a Partial call until Received
+	Again         bool          // the client says that it repeats itself
+	Partial       bool          // its message still comes in and can be read once
+	Window        time.Duration // of a keyed class: how long after the first attempt another may begin; else 0
+	Message       any           // only the front and the upstream of its protocol look into it
+
+	answer    chan Answer // holds one, so that the loop never waits for a client
+	submitted atomic.Bool
+	over      atomic.Bool // has its answer, or the client left; set by the loop only
+
+	// The loop's own:
+	taken      time.Duration
+	sends, out int           // attempts made and in flight
+	flying     *Attempt      // the latest of those in flight; they are linked
+	ranSince   time.Duration // when the first attempt was sent that may have run; 0 without one
+}
+
+// Over reports whether nobody waits for the call's answer any more. It may be called by anybody.
+func (c *Call) Over() bool { return c.over.Load() }
+
+// Verdict is what kind of answer a client gets.
+type Verdict int
+
+// The verdicts.
+const (
+	Served    Verdict = iota // with what a server made
+	Refused                  // trying again is harmless
+	Failed                   // no promise about an effect
+	Duplicate                // another call under its id is open
+)
+
+// Answer is the final answer to a client.
+type Answer struct {
+	Verdict    Verdict
+	Content    Content       // of one that is served
+	RetryAfter time.Duration // of one that is refused: when to come back; 0 where nothing is said of it
+}
+
+// Content is what a server made for a call, which may still be coming in. Only the front and the upstream of its protocol
+// look into it.
+type Content interface {
+	// Drop gives it up, unless that was done. It may be called by anybody.
+	Drop()
+}
+
+// drop gives up an answer that no client gets.
+func (a Answer) drop() {
+	if a.Content != nil {
+		a.Content.Drop()
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,306 @@
+// Package core is the loop that owns the decision module. Fronts hand it calls, it lets an upstream carry out the attempts
+// that the module decides on, and each call gets one answer. It knows no protocol, does no I/O, and trusts neither side to
+// keep to the rules: what they owe is watched at its border.
+package core
+
+import (
+	"container/heap"
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ryeweir/logic"
+)
+
+// Config is what a Core works with.
+type Config struct {
+	Balancer  *logic.Balancer
+	Clock     Clock
+	Upstream  Upstream
+	Upload    time.Duration             // how long a Partial call may take to come in
+	Subscribe func()                    // asks for the list, where it must be asked for
+	Members   func(listed, avoided int) // is told how many servers are listed, and how many of them are avoided
+	Log       *slog.Logger
+}
+
+// Core is the one goroutine that owns the module: events come in by a channel, and it carries out what the module decides.
+// It waits for nothing but the next event or timer.
+type Core struct {
+	balancer *logic.Balancer
+	clock    Clock
+	upstream Upstream
+	cfg      Config
+	events   chan event
+	done     chan struct{} // closed when the loop has ended
+	ready    atomic.Bool   // there is a server to send to
+	listed   chan struct{} // closed when there first is one
+	faults   Faults
+
+	first    sync.Once
+	ctx      context.Context // of the attempts
+	attempts sync.WaitGroup
+	calls    map[string]*Call // open, or with attempts in flight
+	timers   timers
+	members  int
+	given    []handed // answers that may not have been taken yet
+}
+
+const eventQueue = 1024
+
+// event is something that the loop is told: one of the types below.
+type event interface{}
+
+type (
+	// arrived brings a new call.
+	arrived struct{ call *Call }
+	// received says that all of a Partial call has come.
+	received struct {
+		call *Call
+		at   time.Duration
+	}
+	// left says that nobody waits for the answer any more.
+	left struct{ call *Call }
+	// ended is the outcome of an attempt.
+	ended struct {
+		attempt *Attempt
+		outcome Outcome
+	}
+	// unavailable says that a subscription to the list ended or could not be had.
+	unavailable struct{}
+)
+
+// New returns a Core that does nothing until it runs.
+func New(cfg Config) *Core {
+	if cfg.Subscribe == nil {
+		cfg.Subscribe = func() {}
+	}
+	if cfg.Members == nil {
+		cfg.Members = func(int, int) {}
+	}
+	return &Core{balancer: cfg.Balancer, clock: cfg.Clock, upstream: cfg.Upstream, cfg: cfg, events: make(chan event, eventQueue),
+		done: make(chan struct{}), listed: make(chan struct{}), calls: map[string]*Call{}}
+}
+
+// Submit hands over a call and returns where its one answer comes, unless Leave says that nobody waits for it or the core
+// ends before: see Done. A call that was handed over before is counted and passed over.
+func (c *Core) Submit(call *Call) <-chan Answer {
+	if !call.submitted.CompareAndSwap(false, true) {
+		c.faults.Resubmitted.Add(1)
+		return nil
+	}
+	call.answer = make(chan Answer, 1)
+	c.tell(arrived{call})
+	return call.answer
+}
+
+// Received says when the last byte of a Partial call came.
+func (c *Core) Received(call *Call, at time.Duration) { c.tell(received{call, at}) }
+
+// Leave says that nobody waits for the call's answer any more.
+func (c *Core) Leave(call *Call) { c.tell(left{call}) }
+
+// SetList takes the list of servers or a change of it.
+func (c *Core) SetList(l List) { c.tell(l) }
+
+// ListUnavailable says that a subscription to the list ended or could not be had.
+func (c *Core) ListUnavailable() { c.tell(unavailable{}) }
+
+// Done is closed when the core has ended: no call gets an answer any more.
+func (c *Core) Done() <-chan struct{} { return c.done }
+
+// Listed is closed when there first is a server to send to.
+func (c *Core) Listed() <-chan struct{} { return c.listed }
+
+// Ready reports whether there is a server to send to.
+func (c *Core) Ready() bool { return c.ready.Load() }
+
+// tell hands an event to the loop, unless it has ended.
+func (c *Core) tell(ev event) {
+	select {
+	case c.events <- ev:
+	case <-c.done:
+	}
+}
+
+// Run handles events until the context ends, and returns when all attempts have.
+func (c *Core) Run(ctx context.Context) {
+	defer c.attempts.Wait()
+	defer close(c.done)
+	c.ctx = ctx
+	c.do(c.balancer.Start(c.clock.Now()))
+	heap.Push(&c.timers, timer{due: c.clock.Now() + watchEvery, own: true})
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	set := time.Duration(0) // what wake is set for
+	for {
+		if next := c.timers[0].due; next != set {
+			set = next
+			wake.Reset(next - c.clock.Now())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-c.events:
+			c.handle(ev)
+		case <-wake.C:
+			set = 0
+		}
+		c.fire()
+	}
+}
+
+func (c *Core) handle(ev event) {
+	switch e := ev.(type) {
+	case arrived:
+		c.arrive(e.call)
+	case ended:
+		c.end(e.attempt, e.outcome)
+	case received:
+		e.call.Deadline = e.at + e.call.Timeout
+		c.decide(logic.Received{Request: e.call.ID, Deadline: e.call.Deadline})
+	case left:
+		c.leave(e.call)
+	case List:
+		c.list(e)
+	case unavailable:
+		c.decide(logic.ListUnavailable{})
+	}
+}
+
+// decide asks the module and carries out what it says.
+func (c *Core) decide(ev logic.Event) { c.do(c.balancer.Handle(c.clock.Now(), ev)) }
+
+// arrive takes a new call. A second one under the id of one that is not over could not be told from it.
+func (c *Core) arrive(call *Call) {
+	if c.calls[call.ID] != nil {
+		call.over.Store(true)
+		c.give(call, Answer{Verdict: Duplicate})
+		return
+	}
+	call.taken = c.clock.Now()
+	c.calls[call.ID] = call
+	c.decide(logic.Request{ID: call.ID, Class: call.Class, Tenant: call.Tenant, Key: call.Key, Deadline: call.Deadline,
+		Again: call.Again, Partial: call.Partial})
+}
+
+// leave ends a call that nobody waits for. An answer that came before that was noticed is given up.
+func (c *Core) leave(call *Call) {
+	if !call.over.Load() {
+		call.over.Store(true)
+		c.decide(logic.ClientGone{Request: call.ID})
+		c.forget(call)
+		return
+	}
+	select {
+	case unread := <-call.answer:
+		unread.drop()
+	default:
+	}
+}
+
+func (c *Core) end(a *Attempt, o Outcome) {
+	call := a.Call
+	call.ended(a, o.Result)
+	if o.Result == logic.OK {
+		c.finish(call, Answer{Verdict: Served, Content: o.Content})
+	}
+	c.decide(logic.Outcome{Request: call.ID, Attempt: a.Number, Server: a.Server, Result: o.Result,
+		Took: c.clock.Now() - max(a.Sent, time.Duration(a.written.Load())), Closed: call.over.Load(), Spent: o.Spent, Report: o.Report})
+	c.forget(call)
+}
+
+func (c *Core) list(l List) {
+	listed, ready := c.upstream.Update(l)
+	servers := make([]logic.Server, len(l.Members))
+	for i, m := range l.Members {
+		servers[i] = m.Server
+	}
+	c.decide(logic.ServerList{Full: l.Full, Servers: servers})
+	c.members = listed
+	c.cfg.Members(listed, c.balancer.Unavailable())
+	if is := ready > 0; c.ready.Swap(is) != is {
+		c.cfg.Log.Info("backends to send to", "any", is, "ready", ready)
+		if is {
+			c.first.Do(func() { close(c.listed) })
+		}
+	}
+}
+
+// do carries out the module's actions. It makes no use of Cancel, Probe and Tell so far.
+func (c *Core) do(actions []logic.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case logic.Send:
+			c.send(a)
+		case logic.Refuse:
+			c.finish(c.calls[a.Request], Answer{Verdict: Refused, RetryAfter: a.After})
+		case logic.Fail:
+			c.finish(c.calls[a.Request], Answer{Verdict: Failed})
+		case logic.SetTimer:
+			heap.Push(&c.timers, timer{due: c.clock.Now() + a.After, token: a.Token})
+		case logic.Subscribe:
+			c.cfg.Subscribe()
+		}
+	}
+}
+
+// send starts an attempt in a goroutine of its own, so that a dead dial holds up nothing else.
+func (c *Core) send(act logic.Action) {
+	a := c.calls[act.Request].attempt(act, c.clock.Now(), c.cfg.Upload)
+	a.core = c
+	a.Target = c.upstream.Bind(act.Server)
+	c.attempts.Go(func() { c.try(c.ctx, a) })
+}
+
+// finish gives a call its answer, unless it has one.
+func (c *Core) finish(call *Call, a Answer) {
+	if call == nil || call.over.Load() {
+		a.drop()
+		return
+	}
+	call.over.Store(true)
+	c.give(call, a)
+	c.forget(call)
+}
+
+// forget drops a call that is over. While attempts are in flight it is kept: their outcomes still teach.
+func (c *Core) forget(call *Call) {
+	if call.over.Load() && call.out == 0 {
+		delete(c.calls, call.ID)
+	}
+}
+
+// fire tells the module of the timers that are due.
+func (c *Core) fire() {
+	for len(c.timers) > 0 && c.timers[0].due <= c.clock.Now() {
+		if t := heap.Pop(&c.timers).(timer); !t.own {
+			c.decide(logic.TimerFired{Token: t.token})
+			continue
+		}
+		c.watch()
+		heap.Push(&c.timers, timer{due: c.clock.Now() + watchEvery, own: true})
+	}
+}
+
+// timer is a timer of the module, or the core's own.
+type timer struct {
+	due   time.Duration
+	token uint64
+	own   bool
+}
+
+// timers is a heap by the time that they are due.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].due < t[j].due }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	*t = (*t)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/core/list.go
@@ -0,0 +1,15 @@
+package core
+
+import "ryeweir/logic"
+
+// Member is a server as discovery names it.
+type Member struct {
+	logic.Server
+	Addr string // host and port
+}
+
+// List is the list of servers or a change of it. It is only read.
+type List struct {
+	Full    bool
+	Members []Member
+}
--- a/internal/agent/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,5 @@
-package agent
+// Package discovery follows the list of servers at the platform's discovery and hands on what changes.
+package discovery
 
 import (
 	"context"
@@ -14,6 +15,8 @@
 	"sync"
 	"time"
 
+	"ryeweir/internal/core"
+	"ryeweir/internal/pool"
 	"ryeweir/logic"
 )
 
@@ -39,8 +42,8 @@
 	queueTimeout = 2200 * time.Millisecond // in place of callTimeout
 )
 
-// list is a list of backends or a change of it, in discovery's form.
-type list struct {
+// List is a list of servers or a change of it, in discovery's form.
+type List struct {
 	Version int64             `json:"version"`
 	Full    bool              `json:"full"`
 	Servers []json.RawMessage `json:"servers"`
@@ -59,26 +62,41 @@
 
 var states = map[string]logic.State{"Ready": logic.Ready, "Terminating": logic.Draining, "Gone": logic.Gone}
 
-// member is a backend as the agent knows it.
-type member struct {
-	logic.Server
-	addr string
-}
-
-func parseList(data []byte) (l list, err error) {
+// ParseList reads a list.
+func ParseList(data []byte) (l List, err error) {
 	err = json.Unmarshal(data, &l)
 	return l, err
 }
 
-// discovery follows the list of backends and hands what changes to deliver.
-type discovery struct {
+// Sink takes what discovery says. Its methods may wait a moment.
+type Sink interface {
+	SetList(core.List)
+	ListUnavailable() // a subscription ended or could not be had
+}
+
+// Config is what a Client works with.
+type Config struct {
+	Addr   string   // host and port of discovery
+	Agents int      // of the fleet that shares it
+	Asked  bool     // watch only when asked to
+	Zones  []string // their names; a server's zone is an index into them
+	Known  List     // of an earlier life of the agent
+	Seed   uint64
+	Clock  core.Clock
+	Dial   pool.Dial // nil for the machine's network
+	Sink   Sink
+	Log    *slog.Logger
+}
+
+// Client follows the list of servers.
+type Client struct {
 	client    *http.Client
-	clock     clock
+	clock     core.Clock
 	zones     []string
-	known     list          // of an earlier life of the agent
+	known     List          // of an earlier life of the agent
 	asked     bool          // watch only when the module subscribes
 	subscribe chan struct{} // holds one subscription
-	deliver   func(event)
+	sink      Sink
 	log       *slog.Logger
 
 	mu   sync.Mutex
@@ -93,35 +111,36 @@
 	fails   int           // calls that failed in a row
 	at      string        // the address that is followed
 	version int64
-	have    map[string]member
+	have    map[string]core.Member
 	badOnce bool
 	down    bool
 }
 
-func newDiscovery(cfg Config, c clock, dial Dial, deliver func(event), log *slog.Logger) *discovery {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: callTimeout}).DialContext
+// New returns a client that asks nothing until it runs.
+func New(cfg Config) *Client {
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{Timeout: callTimeout}).DialContext
 	}
-	d := &discovery{
+	d := &Client{
 		timeout:   callTimeout,
 		wait:      watchWait,
-		addr:      cfg.Discovery,
+		addr:      cfg.Addr,
 		drop:      func() {},
-		at:        cfg.Discovery,
-		client:    &http.Client{Transport: &http.Transport{DialContext: dial}},
-		clock:     c,
+		at:        cfg.Addr,
+		client:    &http.Client{Transport: &http.Transport{DialContext: cfg.Dial}},
+		clock:     cfg.Clock,
 		rng:       rand.New(rand.NewPCG(cfg.Seed, 1)),
-		zones:     cfg.Site.Zones,
-		known:     cfg.known,
-		asked:     cfg.Site.Logic.Subscribe,
+		zones:     cfg.Zones,
+		known:     cfg.Known,
+		asked:     cfg.Asked,
 		subscribe: make(chan struct{}, 1),
-		deliver:   deliver,
-		log:       log,
-		have:      map[string]member{},
+		sink:      cfg.Sink,
+		log:       cfg.Log,
+		have:      map[string]core.Member{},
 		version:   -1,
 	}
-	if agents := cfg.Site.Logic.Balancers; agents > usualFleet {
-		d.wait = min(longestWatch, time.Duration(agents)*watchEach)
+	if cfg.Agents > usualFleet {
+		d.wait = min(longestWatch, time.Duration(cfg.Agents)*watchEach)
 		d.timeout, d.spread = queueTimeout, d.wait
 		if len(d.known.Servers) > 0 { // changes are all that is asked for
 			d.version = d.known.Version
@@ -130,8 +149,8 @@
 	return d
 }
 
-// ask subscribes to the list. A subscription that waits to begin is enough.
-func (d *discovery) ask() {
+// Ask subscribes to the list. A subscription that waits to begin is enough.
+func (d *Client) Ask() {
 	select {
 	case d.subscribe <- struct{}{}:
 	default:
@@ -140,15 +159,15 @@
 
 // restore starts from the list that an earlier life of the agent had. Whatever discovery says next is newer, also
 // where it counts from a lower version by then.
-func (d *discovery) restore() {
+func (d *Client) restore() {
 	l := d.known
 	l.Full = true
-	d.deliver(listed{full: true, members: d.members(l)})
+	d.sink.SetList(core.List{Full: true, Members: d.members(l)})
 }
 
 // first gets the first list. The known one may name backends that have gone or drain since, and the agent is ready as
 // soon as it holds any: it is used only where discovery does not answer at once.
-func (d *discovery) first(ctx context.Context) {
+func (d *Client) first(ctx context.Context) {
 	if len(d.known.Servers) == 0 {
 		return
 	}
@@ -164,20 +183,20 @@
 }
 
 // pause waits for up to so long, at random: agents that were cut off together must not come back together.
-func (d *discovery) pause(ctx context.Context, most time.Duration) {
+func (d *Client) pause(ctx context.Context, most time.Duration) {
 	sleep(ctx, time.Duration(d.rng.Float64()*float64(most)))
 }
 
-// move points to another discovery. Calls to the old one end at once, whether or not it still answers.
-func (d *discovery) move(addr string) {
+// Move points to another discovery. Calls to the old one end at once, whether or not it still answers.
+func (d *Client) Move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.addr = addr
 	d.drop()
 }
 
-// run follows the list until the context ends, from wherever discovery is. In an outage the last list stays in force.
-func (d *discovery) run(ctx context.Context) {
+// Run follows the list until the context ends, from wherever discovery is. In an outage the last list stays in force.
+func (d *Client) Run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
 	d.first(ctx)
 	for ctx.Err() == nil {
@@ -189,7 +208,7 @@
 
 // begin starts a session with discovery at its present address, which lasts until the address changes. Another
 // discovery counts versions of its own: they may start lower than those of the one before.
-func (d *discovery) begin(ctx context.Context) (context.Context, context.CancelFunc) {
+func (d *Client) begin(ctx context.Context) (context.Context, context.CancelFunc) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	session, end := context.WithCancel(ctx)
@@ -197,13 +216,13 @@
 	if d.at != d.addr {
 		d.at, d.version, d.down = d.addr, -1, false
 		d.client.CloseIdleConnections()
-		d.ask() // the module's subscription was with the old one
+		d.Ask() // the module's subscription was with the old one
 	}
 	return session, end
 }
 
 // session follows the list at one address until the context ends.
-func (d *discovery) session(ctx context.Context) {
+func (d *Client) session(ctx context.Context) {
 	for ctx.Err() == nil {
 		if d.asked {
 			select {
@@ -221,7 +240,7 @@
 			d.log.Warn("discovery out of reach, keeping the last list", "version", d.version, "error", err)
 		}
 		if d.asked { // the module says when to ask again
-			d.deliver(listUnavailable{})
+			d.sink.ListUnavailable()
 			continue
 		}
 		d.pause(ctx, 2*retryPause<<min(d.fails, mostPauses))
@@ -231,7 +250,7 @@
 
 // follow watches for changes until a call fails or a change was missed. It begins with the whole list, unless it holds
 // one: then what has changed since is all that is missing, and discovery has half the work.
-func (d *discovery) follow(ctx context.Context) error {
+func (d *Client) follow(ctx context.Context) error {
 	if d.version < 0 {
 		if err := d.call(ctx, "", 0); err != nil {
 			return err
@@ -255,7 +274,7 @@
 }
 
 // call makes one call and takes in what it brings.
-func (d *discovery) call(ctx context.Context, query string, wait time.Duration) error {
+func (d *Client) call(ctx context.Context, query string, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+d.timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.at+"/v1/endpoints"+query, nil)
@@ -274,7 +293,7 @@
 	if err != nil {
 		return err
 	}
-	l, err := parseList(body)
+	l, err := ParseList(body)
 	if err != nil {
 		return fmt.Errorf("discovery's list: %w", err)
 	}
@@ -282,7 +301,7 @@
 }
 
 // take applies a list that is not older than what is held.
-func (d *discovery) take(l list, whole bool) error {
+func (d *Client) take(l List, whole bool) error {
 	if whole && !l.Full {
 		return errors.New("discovery answered a call for the whole list with changes")
 	}
@@ -296,7 +315,7 @@
 		d.down = false
 		d.log.Info("discovery is back", "version", l.Version)
 		if l.Version == d.version && !l.Full {
-			d.deliver(listed{}) // the list stands, and the module must know that it is followed again
+			d.sink.SetList(core.List{}) // the list stands, and the module must know that it is followed again
 		}
 	}
 	if l.Version < d.version || l.Version == d.version && !l.Full {
@@ -305,14 +324,14 @@
 	members := d.members(l)
 	d.version = l.Version
 	d.log.Info("list of backends", "version", l.Version, "full", l.Full, "entries", len(l.Servers))
-	d.deliver(listed{full: l.Full, members: members})
+	d.sink.SetList(core.List{Full: l.Full, Members: members})
 	return nil
 }
 
 // members decodes the entries. A malformed one is passed over, which must not look as if its backend had been
 // taken from the list: what was held of it stands.
-func (d *discovery) members(l list) []member {
-	out := make([]member, 0, len(l.Servers))
+func (d *Client) members(l List) []core.Member {
+	out := make([]core.Member, 0, len(l.Servers))
 	for _, raw := range l.Servers {
 		m, id, err := d.member(raw)
 		if err != nil {
@@ -339,7 +358,7 @@
 	return out
 }
 
-func (d *discovery) member(raw json.RawMessage) (m member, id string, err error) {
+func (d *Client) member(raw json.RawMessage) (m core.Member, id string, err error) {
 	var e entry
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return m, e.ID, err
@@ -351,8 +370,8 @@
 	if _, _, err := net.SplitHostPort(e.Addr); err != nil && state != logic.Gone {
 		return m, e.ID, err
 	}
-	return member{addr: e.Addr, Server: logic.Server{ID: e.ID, State: state, Zone: slices.Index(d.zones, e.Zone), Cell: e.Cell,
-		Weight: e.Weight, Started: d.clock.fromUnix(e.StartedMS)}}, e.ID, nil
+	return core.Member{Addr: e.Addr, Server: logic.Server{ID: e.ID, State: state, Zone: slices.Index(d.zones, e.Zone), Cell: e.Cell,
+		Weight: e.Weight, Started: d.clock.FromUnix(e.StartedMS)}}, e.ID, nil
 }
 
 // sleep waits, or until the context ends.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -57,6 +57,9 @@
 	return p
 }
 
+// Size is how many bytes it can hold.
+func (p *Pipe) Size() int { return len(p.buf) }
+
 // Fill reads all of r into the pipe. When it first has to wait for room it calls full. The error says why all has not
 // come; the other side gets it behind what has.
 func (p *Pipe) Fill(r io.Reader, full func()) error {
--- a/internal/agent/phase.go
+++ b/internal/front/http/phase.go
@@ -1,4 +1,4 @@
-package agent
+package http
 
 import (
 	"errors"
--- /dev/null
+++ b/internal/front/http/serve.go
@@ -0,0 +1,96 @@
+// Package http serves clients that speak HTTP/1.1: it reads and checks their requests, hands each to the core as a call, and
+// writes its one answer.
+package http
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"ryeweir/internal/connlimit"
+	"ryeweir/internal/framing"
+)
+
+const (
+	// DrainMost is how long past the longest deadline that counts a drain may last.
+	DrainMost = 50 * time.Millisecond
+	drainPoll = 5 * time.Millisecond
+	// The platform waits no longer than for a deadline of this.
+	longestCounted = 3 * time.Second
+)
+
+// Serve answers clients until the context ends and what was taken by then is answered. A socket that is inherited is
+// accepted on by the process before this one, too: this one begins when it has somebody to send to, and stops at once.
+func (s *Server) Serve(ctx context.Context, l net.Listener, inherited bool) error {
+	clients := connlimit.New(framing.Listener{Listener: l}, s.Most)
+	defer clients.Close()
+	s.crowded = clients.Crowded
+	srv := s.httpServer()
+	defer srv.Close()
+	if inherited { // what this process does not accept yet, the one before it does
+		select {
+		case <-s.Core.Listed():
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	sweeping, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var sweep sync.WaitGroup
+	sweep.Go(func() { s.sweep(sweeping, clients) })
+	defer sweep.Wait()
+	defer stop()
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(clients) }()
+	s.accepting.Store(true)
+	s.Log.Info("listening", "addr", l.Addr().String(), "inherited", inherited)
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving clients: %w", err)
+	case <-ctx.Done():
+	}
+	s.drain(context.WithoutCancel(ctx), clients, inherited, failed)
+	return nil
+}
+
+// drain goes on for what was taken, and for who comes all the same, as long as the platform lets it.
+func (s *Server) drain(ctx context.Context, clients *connlimit.Listener, inherited bool, failed <-chan error) {
+	s.Log.Info("draining")
+	var longest time.Duration
+	for _, c := range s.Site.Logic.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	limited, cancel := context.WithTimeout(ctx, s.AcceptFor+min(longest, longestCounted)+DrainMost)
+	defer cancel()
+	s.phase.end()
+	if !inherited { // else the process that follows accepts, and what this one took from it would come late
+		sleep(limited, s.AcceptFor)
+	}
+	clients.Close()
+	<-failed
+	for clients.Len() > 0 && limited.Err() == nil {
+		sleep(limited, drainPoll)
+	}
+	s.Log.Info("drained", "open", clients.Len())
+}
+
+// sweep closes clients' idle connections in a drain, an operator's or the last one.
+func (s *Server) sweep(ctx context.Context, clients *connlimit.Listener) {
+	for ctx.Err() == nil {
+		sleep(ctx, drainSweep)
+		if s.phase.leaving() {
+			clients.CloseIdle(drainIdle)
+		}
+	}
+}
+
+// sleep waits, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/agent/server.go
+++ b/internal/front/http/server.go
@@ -1,4 +1,4 @@
-package agent
+package http
 
 import (
 	"context"
@@ -12,8 +12,10 @@
 	"time"
 
 	"ryeweir/internal/connlimit"
+	"ryeweir/internal/core"
 	"ryeweir/internal/flow"
 	"ryeweir/internal/framing"
+	"ryeweir/internal/httpmsg"
 	"ryeweir/internal/metrics"
 	"ryeweir/internal/wire"
 )
@@ -25,32 +27,40 @@
 	headerTimeout  = 2600 * time.Millisecond // for the head of a request, from when the client connected
 	clientIdle     = 2100 * time.Millisecond // an idle client connection is closed
 	drainIdle      = time.Second             // and sooner in a drain: its client has others, or is about to leave
-	drainSweep     = 100 * time.Millisecond  // how often a drain looks for those
+	drainSweep     = 250 * time.Millisecond  // how often a drain looks for those
 	maxHeader      = 16 << 10
 	heldPart       = 0.8         // of the clients' connections may hold a request; the rest can be told so at once
 	heldRetry      = time.Second // the come-back time when too much is open
 )
 
-// server is the side that faces the clients.
-type server struct {
-	site      wire.Site
-	loop      *loop
-	clock     clock
-	metrics   *metrics.Metrics
-	budget    *flow.Budget // for the bodies of requests
-	log       *slog.Logger
-	mostHeld  int64         // requests open at a time
-	acceptFor time.Duration // new connections are accepted for so long after the signal to end
+// HeldPart is the part of the clients' connections that may hold a request; the rest can be told so at once.
+const HeldPart = 0.8
+
+// Config is what a Server works with.
+type Config struct {
+	Site      wire.Site
+	Core      *core.Core
+	Clock     core.Clock
+	Metrics   *metrics.Metrics
+	Budget    *flow.Budget  // for the bodies of requests
+	Most      int           // connections from clients that there may be
+	AcceptFor time.Duration // new connections are accepted for so long after the signal to end
+	Log       *slog.Logger
+}
+
+// Server is the side that faces the clients.
+type Server struct {
+	Config
+	mostHeld  int64 // requests open at a time
 	held      atomic.Int64
 	phase     phase
 	accepting atomic.Bool // clients' connections are being accepted
 	crowded   func() bool // so many connections are open that answers close theirs
 }
 
-// newServer returns a server with room for so many connections from clients.
-func newServer(cfg Config, l *loop, c clock, most int, m *metrics.Metrics, log *slog.Logger) *server {
-	s := &server{site: cfg.Site, loop: l, clock: c, metrics: m, log: log, mostHeld: int64(heldPart * float64(most)), acceptFor: cfg.acceptFor,
-		crowded: func() bool { return false }}
+// New returns a server that serves nobody yet.
+func New(cfg Config) *Server {
+	s := &Server{Config: cfg, mostHeld: int64(HeldPart * float64(cfg.Most)), crowded: func() bool { return false }}
 	if cfg.Site.MostHeld > 0 {
 		s.mostHeld = min(s.mostHeld, int64(cfg.Site.MostHeld))
 	}
@@ -58,13 +68,13 @@
 }
 
 // httpServer returns the net/http server that s answers for.
-func (s *server) httpServer() *http.Server {
+func (s *Server) httpServer() *http.Server {
 	return &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       clientIdle,
 		MaxHeaderBytes:    maxHeader,
-		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelWarn),
+		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelWarn),
 		ConnState:         connlimit.State,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return framing.Context(connlimit.Context(ctx, c), c)
@@ -73,7 +83,7 @@
 }
 
 // ServeHTTP gives each request its one answer.
-func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/ready" {
 		s.closing(w, r)
 		s.readiness(w)
@@ -84,10 +94,10 @@
 		turnAway(w, badRequest{http.StatusNotFound, "unknown class"})
 		return
 	}
-	c, release, err := s.accept(w, r, class)
+	c, m, release, err := s.accept(w, r, class)
 	if err != nil {
 		if !errors.Is(err, errNotWhole) { // else there was no request to answer
-			s.metrics.Answered(class, metrics.Failed)
+			s.Metrics.Answered(class, metrics.Failed)
 		}
 		turnAway(w, err)
 		return
@@ -96,43 +106,43 @@
 	var taken atomic.Bool
 	took := func() time.Duration {
 		taken.Store(true)
-		s.metrics.Taken()
-		return s.clock.now()
+		s.Metrics.Taken()
+		return s.Clock.Now()
 	}
 	defer func() {
 		if taken.Load() {
-			s.metrics.Released()
+			s.Metrics.Released()
 		}
 	}()
-	rest := c.message.body.rest
+	rest := m.Body.Rest
 	if rest == nil {
-		c.deadline = took() + c.timeout
+		c.Deadline = took() + c.Timeout
 	} else {
-		rest.ended = func() { s.loop.tell(received{c, took()}) }
+		rest.Ended = func() { s.Core.Received(c, took()) }
 	}
 	connlimit.Hold(r.Context())
 	defer s.held.Add(-1)
 	if s.held.Add(1) > s.mostHeld { // nothing was sent yet, so a refusal's promise holds
-		s.write(w, r, c, answer{verdict: refused, retryAfter: heldRetry})
+		s.write(w, r, c, core.Answer{Verdict: core.Refused, RetryAfter: heldRetry})
 		return
 	}
-	s.loop.tell(arrived{c})
+	answers := s.Core.Submit(c)
 	select {
-	case a := <-c.answer:
+	case a := <-answers:
 		s.write(w, r, c, a)
 	case <-r.Context().Done():
-		s.loop.tell(clientLeft{c})
+		s.Core.Leave(c)
 		if rest != nil {
 			http.NewResponseController(w).SetReadDeadline(time.Now()) // for an attempt that reads from it
-			rest.close()
-			if _, err := rest.state(); err != nil { // net/http ends the context also when a body stops
+			rest.Close()
+			if _, err := rest.State(); err != nil { // net/http ends the context also when a body stops
 				turnAway(w, brokenBody(err))
 				return
 			}
 		}
 		panic(http.ErrAbortHandler) // a plain return would make net/http answer 200, which no backend said
-	case <-s.loop.done: // never before the server has drained
-		s.write(w, r, c, answer{verdict: failed})
+	case <-s.Core.Done(): // never before the server has drained
+		s.write(w, r, c, core.Answer{Verdict: core.Failed})
 	}
 }
 
@@ -146,7 +156,7 @@
 	http.Error(w, err.Error(), status)
 }
 
-func (s *server) readiness(w http.ResponseWriter) {
+func (s *Server) readiness(w http.ResponseWriter) {
 	if !s.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
@@ -155,26 +165,26 @@
 }
 
 // Ready reports whether the agent takes clients: it accepts them and has a backend to send to.
-func (s *server) Ready() bool {
-	return s.accepting.Load() && s.loop.ready.Load() && !s.phase.leaving()
+func (s *Server) Ready() bool {
+	return s.accepting.Load() && s.Core.Ready() && !s.phase.leaving()
 }
 
 // Drain sends clients away without ending the process: readiness says no, answers close their connections and idle ones
 // are closed. Those who come all the same are served.
-func (s *server) Drain() error { return s.steer(draining, "draining for operators") }
+func (s *Server) Drain() error { return s.steer(draining, "draining for operators") }
 
 // Activate ends a drain.
-func (s *server) Activate() error { return s.steer(serving, "taking clients for operators") }
+func (s *Server) Activate() error { return s.steer(serving, "taking clients for operators") }
 
-func (s *server) steer(to int32, text string) error {
+func (s *Server) steer(to int32, text string) error {
 	err := s.phase.move(to)
-	s.log.Info(text, "error", err)
+	s.Log.Info(text, "error", err)
 	return err
 }
 
 // closing lets the answer about to be written close its connection, where the agent wants clients off or has many. Behind
 // a body in chunks nothing is read that the framing check has not followed.
-func (s *server) closing(w http.ResponseWriter, r *http.Request) {
+func (s *Server) closing(w http.ResponseWriter, r *http.Request) {
 	if s.phase.leaving() || s.crowded() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
@@ -182,16 +192,16 @@
 
 // write gives a request its answer. What is left of its body is passed over behind that: a client that sends all before
 // it reads would not find the answer on a connection that was closed under it.
-func (s *server) write(w http.ResponseWriter, r *http.Request, c *call, a answer) {
+func (s *Server) write(w http.ResponseWriter, r *http.Request, c *core.Call, a core.Answer) {
 	s.closing(w, r)
-	if a.verdict == served {
-		s.pass(w, r, c, a.content)
+	if a.Verdict == core.Served {
+		s.pass(w, r, c, a.Content.(*httpmsg.Content))
 		return
 	}
-	rest := c.message.body.rest
+	rest := c.Message.(*httpmsg.Message).Body.Rest
 	if rest != nil {
-		rest.close()
-		if _, err := rest.state(); err != nil { // there is no request to refuse
+		rest.Close()
+		if _, err := rest.State(); err != nil { // there is no request to refuse
 			turnAway(w, brokenBody(err))
 			return
 		}
@@ -201,50 +211,51 @@
 	h := w.Header()
 	h["Content-Type"] = nil // do not guess
 	h.Set("Content-Length", "0")
-	if a.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
+	if a.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
 	}
 	status, result := http.StatusBadGateway, metrics.Failed
-	switch a.verdict {
-	case refused:
+	switch a.Verdict {
+	case core.Refused:
 		status, result = http.StatusServiceUnavailable, metrics.Rejected
-	case duplicate:
+	case core.Duplicate:
 		status = http.StatusConflict
 	}
 	control := http.NewResponseController(w)
 	control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(status)
-	s.metrics.Answered(c.class, result)
+	s.Metrics.Answered(c.Class, result)
 	if rest != nil {
 		control.Flush()
-		io.Copy(io.Discard, rest.from)
+		io.Copy(io.Discard, rest.From)
 	}
 }
 
 // pass passes on what a backend made, as it comes. What breaks off must not look whole: the connection is cut.
-func (s *server) pass(w http.ResponseWriter, r *http.Request, c *call, from *content) {
-	defer from.pipe.Close()
-	stop := context.AfterFunc(r.Context(), from.pipe.Close)
-	defer stop()
-	held, whole := from.pipe.Whole()
+func (s *Server) pass(w http.ResponseWriter, r *http.Request, c *core.Call, from *httpmsg.Content) {
+	defer from.Pipe.Close()
+	held, whole := from.Pipe.Whole()
 	if whole {
-		from.length = int64(held)
+		from.Length = int64(held)
+	} else { // a client that leaves ends the wait for more
+		stop := context.AfterFunc(r.Context(), from.Pipe.Close)
+		defer stop()
 	}
 	h := w.Header()
-	if from.length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(from.length, 10))
+	if from.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(from.Length, 10))
 	}
 	h["Content-Type"] = nil // do not guess
-	if from.kind != "" {
-		h.Set("Content-Type", from.kind)
+	if from.Kind != "" {
+		h.Set("Content-Type", from.Kind)
 	}
 	w.WriteHeader(http.StatusOK)
 	out := &outflow{ResponseWriter: w, control: http.NewResponseController(w), flush: !whole}
-	if _, err := from.pipe.WriteTo(out); err != nil {
-		s.metrics.Answered(c.class, metrics.Failed)
+	if _, err := from.Pipe.WriteTo(out); err != nil {
+		s.Metrics.Answered(c.Class, metrics.Failed)
 		panic(http.ErrAbortHandler)
 	}
-	s.metrics.Answered(c.class, metrics.Completed)
+	s.Metrics.Answered(c.Class, metrics.Completed)
 }
 
 // outflow writes to a client for as long as it reads.
--- /dev/null
+++ b/internal/httpmsg/message.go
@@ -0,0 +1,38 @@
+// Package httpmsg is what an HTTP front and an HTTP upstream share: a request as it is passed on, and what a server made for
+// it. The core carries both without looking into them.
+package httpmsg
+
+import (
+	"time"
+
+	"ryeweir/internal/flow"
+)
+
+// Bounds of messages.
+const (
+	MaxBody     = 32 << 20 // bytes of the longest body
+	HeldBody    = 64 << 10 // bytes that are held of one; a body up to this is held whole, and can be sent again
+	SlowestBody = 8 << 10  // bytes a second, from when the head was read; slower ones are given up
+
+	// LongestUpload is the time after which a body at the slowest pace has come.
+	LongestUpload = MaxBody/SlowestBody*time.Second + time.Minute
+)
+
+// TimeoutHeader states how long the answer may take.
+const TimeoutHeader = "X-Timeout"
+
+// Message is a request as it is passed on.
+type Message struct {
+	Head []byte // the request's line and headers as bytes, but for the time-out and the empty line
+	Body Body
+}
+
+// Content is what a server made for a request. It may still be coming in when it is passed on.
+type Content struct {
+	Pipe   *flow.Pipe
+	Length int64  // -1 when not known
+	Kind   string // its Content-Type; empty without one
+}
+
+// Drop gives it up.
+func (c *Content) Drop() { c.Pipe.Close() }
--- /dev/null
+++ b/internal/upstream/http/upstream.go
@@ -0,0 +1,61 @@
+// Package http carries out attempts as HTTP/1.1 exchanges with servers. Each connection carries one request at a time, and
+// all that happens to it is done here and in the pool: http.Transport would send a request again by itself when a kept
+// connection turns out dead, which counts as an attempt that nobody decided on.
+package http
+
+import (
+	"context"
+	"errors"
+
+	"ryeweir/internal/core"
+	"ryeweir/internal/flow"
+	"ryeweir/internal/httpmsg"
+	"ryeweir/internal/pool"
+	"ryeweir/logic"
+)
+
+// Upstream makes attempts. It implements core.Upstream.
+type Upstream struct {
+	Pool   *pool.Pool // its connections have the state that Wrap makes
+	Clock  core.Clock
+	Budget *flow.Budget    // for answers
+	Fields []string        // of load reports that count
+	Sent   func()          // a request has been written whole
+	Noted  func(err error) // a report was malformed
+}
+
+// Update takes the list of servers or a change of it.
+func (u *Upstream) Update(l core.List) (listed, ready int) { return u.Pool.Update(l.Full, l.Members) }
+
+// Bind returns the present life of a server.
+func (u *Upstream) Bind(server string) any { return u.Pool.Node(server) }
+
+// Try makes the attempt and reports its outcome, which is exact. A long answer goes on being read after that.
+func (u *Upstream) Try(ctx context.Context, a *core.Attempt) {
+	node, _ := a.Target.(*pool.Node)
+	out := core.Outcome{Result: logic.NotSent, Report: logic.NoReport}
+	c, err := u.Pool.Get(ctx, node, u.Clock.At(a.Until()))
+	switch {
+	case errors.Is(err, pool.ErrNotReady) || errors.Is(err, pool.ErrNoRoom) || errors.Is(err, pool.ErrLate):
+		a.Report(out) // the agent's own lack says nothing of the server
+		return
+	case err != nil:
+		out.Result = logic.ConnectFailed
+		a.Report(out)
+		return
+	case !u.stillWanted(a, node):
+		u.Pool.Put(c, true)
+		a.Report(out)
+		return
+	}
+	x := &exchange{Upstream: u, conn: c, state: c.State.(*state), attempt: a, message: a.Call.Message.(*httpmsg.Message), out: out}
+	keep := x.run(ctx)
+	u.Pool.Put(c, keep)
+	x.finish()
+}
+
+// stillWanted is asked just before the first byte goes out. A dial may have taken long: meanwhile the server may have
+// begun to drain or started anew, the call may have ended, or the servers may have forgotten its key.
+func (u *Upstream) stillWanted(a *core.Attempt, node *pool.Node) bool {
+	return u.Clock.Now() < a.WriteBy && !a.Call.Over() && u.Pool.TakesNew(node)
+}
