--- a/cmd/ryeweir/agent.go
+++ b/cmd/ryeweir/agent.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"ryeweir/internal/agent"
+	"ryeweir/internal/config/operator"
 	"ryeweir/internal/config/platform"
 	"ryeweir/internal/handover"
 )
@@ -27,7 +28,8 @@
 const heapPart = 0.6
 
 func agentCommand(log *logging) *cobra.Command {
-	return &cobra.Command{
+	var operators string
+	cmd := &cobra.Command{
 		Use:   "agent",
 		Short: "Run the agent; the platform's environment says the rest",
 		Long: "Runs one agent in the foreground. PROXY_CONFIG names its configuration; PROXY_NAME, PROXY_LISTEN,\n" +
@@ -35,11 +37,15 @@
 			"socket for clients. SIGHUP reads the configuration again; SIGTERM drains and ends.",
 		Example: "  PROXY_CONFIG=/run/balancer/config.json ryeweir agent --log-format json",
 		Args:    cobra.NoArgs,
-		RunE:    func(c *cobra.Command, _ []string) error { return runAgent(c.Context(), log, c.ErrOrStderr()) },
+		RunE: func(c *cobra.Command, _ []string) error {
+			return runAgent(c.Context(), log, operators, c.ErrOrStderr())
+		},
 	}
+	cmd.Flags().StringVar(&operators, "operator", "", "the operators' file (see deploy/operator.toml); none: the defaults")
+	return cmd
 }
 
-func runAgent(ctx context.Context, flags *logging, errs io.Writer) error {
+func runAgent(ctx context.Context, flags *logging, operators string, errs io.Writer) error {
 	hangups := make(chan os.Signal, 1) // one that waits is enough: the file is read after it
 	signal.Notify(hangups, syscall.SIGHUP)
 	log, err := flags.logger(errs)
@@ -50,6 +56,10 @@
 	if err != nil {
 		return err
 	}
+	ops, err := operator.Load(operators)
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	memory := heapPart * float64(cfg.MemoryMB<<20)
 	if handover.Inherits(os.Getenv) {
@@ -63,6 +73,9 @@
 	defer stop()
 	log = log.With("agent", cfg.Name)
 	reloads := agent.Reloads{Signals: hangups, Load: func() (platform.Config, error) { return platform.Reload(os.Getenv) }}
+	if operators != "" {
+		reloads.Operator = func() (operator.File, error) { return operator.Load(operators) }
+	}
 	var sockets agent.Sockets
 	if sockets.Clients, sockets.Inherited, err = handover.Listen(os.Getenv, cfg.Listen); err != nil {
 		return err
@@ -72,5 +85,5 @@
 			return fmt.Errorf("listening for operators: %w", err)
 		}
 	}
-	return agent.Run(ctx, cfg, reloads, sockets, log)
+	return agent.Run(ctx, cfg, ops, reloads, sockets, log)
 }
--- /dev/null
+++ b/cmd/ryeweir/fleet.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"ryeweir/internal/lab"
+)
+
+func fleetCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "fleet FILE",
+		Short: "Model the connections of many agents, with the real decisions on them",
+		Long: "Plays FILE's model with each of its arms, repeated with other seeds, and prints what the arms cost and lose: handshakes,\n" +
+			"open connections, requests that a close crossed or that went out on dead connections, and the peak of handshakes at a\n" +
+			"server that starts anew. Intervals are 95% ones.",
+		Example: "  ryeweir fleet deploy/experiments/fleet-start.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			spec := lab.DefaultFleet()
+			if err := readTOML(c, args[0], &spec); err != nil {
+				return err
+			}
+			figures, err := lab.Fleet(&spec, c.OutOrStdout())
+			if err != nil || file == "" {
+				return err
+			}
+			text, err := json.MarshalIndent(struct {
+				Name    string             `json:"name"`
+				Figures []lab.FleetFigures `json:"figures"`
+			}{spec.Name, figures}, "", "  ")
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(file, append(text, '\n'), 0o644); err != nil {
+				return errors.Join(errors.New("figures not written"), err)
+			}
+			fmt.Fprintln(c.OutOrStdout(), "figures:", file)
+			return nil
+		},
+	}
+	c.Flags().StringVar(&file, "json", "", "write the figures to this file, too")
+	return c
+}
--- a/cmd/ryeweir/lab.go
+++ b/cmd/ryeweir/lab.go
@@ -7,11 +7,13 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"ryeweir/internal/config"
+	"ryeweir/internal/config/operator"
 	"ryeweir/internal/lab"
 	"ryeweir/internal/world"
 )
@@ -264,6 +266,20 @@
 			return "", err
 		}
 		return fmt.Sprintf("experiment %s: %d days with %d arms, %d repeats", s.Name, len(s.Days), len(s.Arms), s.Repeats), nil
+	case "fleet":
+		s := lab.DefaultFleet()
+		if err := config.TOML(file, data, &s); err != nil {
+			return "", err
+		}
+		return fmt.Sprintf("model %s: %d agents and %d servers with %d arms, %d repeats", s.Name, s.Agents, s.Servers, len(s.Arms), s.Repeats), nil
+	case "operator":
+		f, err := operator.Parse(file, data)
+		if err != nil {
+			return "", err
+		}
+		var text strings.Builder
+		f.Describe(&text)
+		return strings.TrimSuffix(text.String(), "\n"), nil
 	case "load":
 		var s lab.LoadSpec
 		if err := config.TOML(file, data, &s); err != nil {
@@ -277,7 +293,7 @@
 		}
 		return describeDay("world", &s.Day, s.Seed)
 	}
-	return "", &config.Error{File: file, Err: errors.New("is neither an experiment, a world, load nor a deployment")}
+	return "", &config.Error{File: file, Err: errors.New("is neither an experiment, a model of a fleet, an operators' file, a world, load nor a deployment")}
 }
 
 func describeDay(what string, d *world.DaySpec, seed uint64) (string, error) {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"ryeweir/internal/config/operator"
 	"ryeweir/internal/config/platform"
 	"ryeweir/internal/control"
 	"ryeweir/internal/core"
@@ -43,7 +44,7 @@
 }
 
 // Run serves until the context ends, then drains as the platform's restarts want it. It closes the sockets.
-func Run(ctx context.Context, cfg platform.Config, reloads Reloads, sockets Sockets, log *slog.Logger) error {
+func Run(ctx context.Context, cfg platform.Config, ops operator.File, reloads Reloads, sockets Sockets, log *slog.Logger) error {
 	defer sockets.Clients.Close()
 	balancer, err := logic.New(cfg.Site.Logic, cfg.Seed)
 	if err != nil {
@@ -57,7 +58,11 @@
 
 	share := shareSockets(cfg.Sockets, sockets)
 	clock := core.NewClock()
-	conns := pool.New(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, share.toBackends, sockets.Dial, uphttp.Wrap)
+	conns, err := pool.New(pool.Config{Settings: ops.Connections.Settings(connections(cfg, share.toBackends)), Buffers: ops.Connections.SocketBufferBytes, ConnectIn: cfg.Site.ConnectTimeout, Seed: cfg.Seed, Clock: clock,
+		Dial: sockets.Dial, Wrap: uphttp.Wrap})
+	if err != nil {
+		return err
+	}
 	var classes []string
 	for _, c := range cfg.Site.Logic.Classes {
 		classes = append(classes, c.Name)
@@ -68,6 +73,7 @@
 		memory /= 2
 	}
 	budget := flow.NewBudget(int64(memory))
+	figures.Add("connections", func() any { return conns.Counts() })
 	var badReport sync.Once
 	upstream := &uphttp.Upstream{Pool: conns, Clock: clock, Budget: budget, Fields: cfg.Site.ReportFields, Sent: figures.Sent,
 		Noted: func(err error) {
@@ -78,8 +84,9 @@
 		Subscribe: func() { disco.Ask() }, Members: figures.SetMembers, Log: log})
 	disco = discovery.New(discovery.Config{Addr: cfg.Discovery, Agents: cfg.Site.Logic.Balancers, Asked: cfg.Site.Logic.Subscribe,
 		Zones: cfg.Site.Zones, Known: cfg.Known, Seed: cfg.Seed, Clock: clock, Dial: sockets.Dial, Sink: c, Log: log})
+	figures.Add("border", func() any { return c.Faults() })
 	front := fronthttp.New(fronthttp.Config{Site: cfg.Site, Core: c, Clock: clock, Metrics: figures, Budget: budget,
-		Most: share.fromClients, AcceptFor: cfg.AcceptFor, Log: log})
+		Most: share.fromClients, AcceptFor: cfg.AcceptFor, DrainFor: ops.Drain.Longest.D(), Log: log})
 	if sockets.Control != nil {
 		parts.Go(func() {
 			if err := control.Serve(inner, sockets.Control, front, figures, log); err != nil {
@@ -88,12 +95,27 @@
 		})
 	}
 	parts.Go(func() { c.Run(inner) })
-	parts.Go(func() { every(inner, sweepEvery, conns.Sweep); conns.Close() })
+	parts.Go(func() {
+		every(inner, sweepEvery, conns.Sweep)
+		conns.Close()
+	})
 	parts.Go(func() { disco.Run(inner) })
-	parts.Go(func() { reloads.follow(inner, cfg, disco, log) })
+	parts.Go(func() {
+		reloads.follow(inner, cfg, ops, disco, func(fresh operator.File) error {
+			return conns.Configure(fresh.Connections.Settings(connections(cfg, share.toBackends)))
+		}, log)
+	})
 	return front.Serve(ctx, sockets.Clients, sockets.Inherited)
 }
 
+// connections are the settings of the pool: what the platform says of servers and fleet, and the defaults for the rest.
+func connections(cfg platform.Config, most int) pool.Settings {
+	set := pool.DefaultSettings(most)
+	set.Idle, set.Wait = cfg.Site.ConnIdle, cfg.Site.ConnectTimeout
+	set.Agents, set.ColdFrom, set.ColdFor = cfg.Site.Logic.Balancers, cfg.Site.Logic.ColdFrom, cfg.Site.Logic.ColdFor
+	return set
+}
+
 // shares says how many connections there may be.
 type shares struct{ toBackends, fromClients int }
 
--- a/internal/agent/reload.go
+++ b/internal/agent/reload.go
@@ -6,19 +6,21 @@
 	"os"
 	"reflect"
 
+	"ryeweir/internal/config/operator"
 	"ryeweir/internal/config/platform"
 	"ryeweir/internal/discovery"
 )
 
 // Reloads says when the configuration is to be read again, and how.
 type Reloads struct {
-	Signals <-chan os.Signal
-	Load    func() (platform.Config, error)
+	Signals  <-chan os.Signal
+	Load     func() (platform.Config, error)
+	Operator func() (operator.File, error) // nil without an operators' file
 }
 
 // follow reads the configuration again at each signal and points discovery to where it says. A file that can't be
 // used changes nothing: the agent goes on with what it has.
-func (r Reloads) follow(ctx context.Context, cfg platform.Config, d *discovery.Client, log *slog.Logger) {
+func (r Reloads) follow(ctx context.Context, cfg platform.Config, ops operator.File, d *discovery.Client, apply func(operator.File) error, log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -35,5 +37,28 @@
 			log.Warn("settings have changed, which takes effect at the next start only")
 		}
 		d.Move(fresh.Discovery)
+		ops = r.operator(ops, apply, log)
 	}
 }
+
+// operator reads the operators' file again and returns what holds from then on.
+func (r *Reloads) operator(old operator.File, apply func(operator.File) error, log *slog.Logger) operator.File {
+	if r.Operator == nil {
+		return old
+	}
+	fresh, err := r.Operator()
+	if err == nil {
+		err = apply(fresh)
+	}
+	if err != nil {
+		log.Error("operators' file not reloaded, keeping the old one", "error", err)
+		return old
+	}
+	log.Info("operators' file reloaded")
+	if keys := old.Fixed(fresh); len(keys) > 0 {
+		log.Warn("keys have changed that take effect at the next start only", "keys", keys)
+		fresh.Connections.Places, fresh.Connections.SocketBufferBytes = old.Connections.Places, old.Connections.SocketBufferBytes
+		fresh.Drain = old.Drain
+	}
+	return fresh
+}
--- a/internal/agent/streaming_test.go
+++ b/internal/agent/streaming_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -303,3 +304,82 @@
 		t.Fatal("the agent does not end")
 	}
 }
+
+// A backend that answers before it has all of a long body is heard at once, while the client still sends: what serves is
+// passed on, and anything else did not begin the request.
+func TestAnswerBeforeTheBodysEnd(t *testing.T) {
+	t.Parallel()
+	for text, want := range map[string]int{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine":        http.StatusOK,
+		"HTTP/1.1 413 Too long\r\nContent-Length: 0\r\n\r\n":      http.StatusServiceUnavailable,
+		"HTTP/1.1 503 No\r\nConnection: close\r\n\r\nnot for you": http.StatusServiceUnavailable,
+	} {
+		l := testkit.Listen(t)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				t.Cleanup(func() { c.Close() })
+				go func() {
+					if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil { // and nothing of the body
+						io.WriteString(c, text)
+					}
+				}()
+			}
+		}()
+		a := start(t, testkit.NewDiscovery(t, 1, testkit.EntryText("s-1", l.Addr().String(), "Ready", 0)), 0)
+		c := a.dial(t)
+		head := "POST /pay HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: 77\r\nX-Tenant-Id: lerwick-port\r\nX-Timeout: 1999m\r\nContent-Length: 9000000\r\n\r\n"
+		go io.WriteString(c, head+longText(200000)) // and then nothing for a while
+		began := time.Now()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode != want || !resp.Close {
+			t.Errorf("%q: status %d, closes %v", text, resp.StatusCode, resp.Close)
+		}
+		if body, err := io.ReadAll(resp.Body); want == http.StatusOK && (string(body) != "fine" || err != nil) {
+			t.Errorf("%q, %v", body, err)
+		}
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("%q after %v", text, took)
+		}
+	}
+}
+
+// A client keeps its connection through requests in chunks.
+func TestChunksKeepTheConnection(t *testing.T) {
+	b := testkit.NewBackend(t, testkit.Says(testkit.ServedText))
+	a := start(t, testkit.NewDiscovery(t, 1, testkit.EntryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	c := a.dial(t)
+	in := bufio.NewReader(c)
+	for i := range 3 {
+		fmt.Fprintf(c, "POST /refund-record HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: %d\r\nX-Tenant-Id: lerwick-port\r\nX-Timeout: 1999m\r\n"+
+			"Idempotency-Key: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nform\r\n0\r\n\r\n", i)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != http.StatusOK || resp.Close {
+			t.Fatalf("%d: %+v, %v", i, resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+	if b.Requests() != 3 || b.Bodies[2] != "form" {
+		t.Errorf("%d came, %q", b.Requests(), b.Bodies)
+	}
+}
+
+// A client of HTTP/1.0 can tell an answer that broke off: its connection is reset.
+func TestBrokenAnswerToOldClient(t *testing.T) {
+	b := testkit.NewBackend(t, func(c net.Conn, r *http.Request, n int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n%s", longText(90000))
+		return false
+	})
+	a := start(t, testkit.NewDiscovery(t, 1, testkit.EntryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	c := a.dial(t)
+	io.WriteString(c, "POST /pay HTTP/1.0\r\nX-Request-ID: 77\r\nX-Tenant-Id: lerwick-port\r\nX-Timeout: 1999m\r\nContent-Length: 0\r\n\r\n")
+	if _, err := io.Copy(io.Discard, c); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("it ends with %v", err)
+	}
+}
--- /dev/null
+++ b/internal/config/operator/operator_test.go
@@ -0,0 +1,62 @@
+package operator
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"ryeweir/internal/pool"
+)
+
+// The file that is delivered says what holds without one.
+func TestDeliveredFileIsTheDefault(t *testing.T) {
+	data, err := os.ReadFile("../../../deploy/operator.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Parse("operator.toml", data)
+	if err != nil || f != Default() {
+		t.Errorf("%+v, %v", f, err)
+	}
+	base := pool.DefaultSettings(100)
+	if got := f.Connections.Settings(base); got != func() pool.Settings { s := base; s.AgeJitter = 0.2; return s }() {
+		t.Errorf("%+v, not %+v", got, base)
+	}
+	if got, err := Load(""); err != nil || got != Default() {
+		t.Errorf("no file: %+v, %v", got, err)
+	}
+}
+
+func TestErrorsNameFileLineAndKey(t *testing.T) {
+	for text, want := range map[string]string{
+		"[connections]\nreuse = \"best\"":                  "op.toml:2: connections.reuse: \"best\" is not newest, oldest or fewest",
+		"[connections]\n\nper_server = -1":                 "op.toml:3: connections.per_server: must be from 0 to 65536",
+		"[connections]\nidle_part = 0.0":                   "op.toml:2: connections.idle_part: must be above 0",
+		"[connections]\nidle_part = nan":                   "op.toml:2: connections.idle_part: must be from 0 to 1",
+		"[connections]\nwait = \"soon\"":                   "op.toml:2: connections.wait: ",
+		"[connections]\npool = 7":                          "op.toml:2: connections.pool: no such key",
+		"[connections]\nsocket_buffer_bytes = 17":          "op.toml:2: connections.socket_buffer_bytes: must be 0, or from 4096 to 16777216",
+		"[drain]\nlongest = \"-1s\"":                       "op.toml:2: drain.longest: must be from 0s to 24h0m0s",
+		"[connections]\nsuspect = \"shun\"\nmax_uses = -3": "op.toml:3: connections.max_uses: must be from 0 to 65536",
+	} {
+		_, err := Parse("op.toml", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %s", text, err, want)
+		}
+	}
+}
+
+func TestWhatIsSetGoesFirst(t *testing.T) {
+	f, err := Parse("op.toml", []byte("[connections]\nplaces = 10\nhandshakes_per_server = 3\nreuse = \"oldest\"\nsuspect = \"close\"\nwait = \"40ms\""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := f.Connections.Settings(pool.DefaultSettings(100))
+	if s.Most != 10 || s.PerNode != 10 || s.OpeningPerNode != 3 || s.Order != pool.Oldest || !s.SuspectClose || s.Wait.Milliseconds() != 40 || s.Check() != nil {
+		t.Errorf("%+v", s)
+	}
+	old := Default()
+	if keys := old.Fixed(f); len(keys) != 1 || keys[0] != "connections.places" {
+		t.Errorf("%v take effect at the next start only", keys)
+	}
+}
--- a/internal/core/border.go
+++ b/internal/core/border.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,12 @@
 	Unfinished  atomic.Int64 // partial calls of which nothing more was heard
 }
 
+// MarshalJSON gives the counts in the operators' form.
+func (f *Faults) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]int64{"reported_twice": f.Twice.Load(), "unreported": f.Unreported.Load(), "overdue": f.Overdue.Load(),
+		"unread": f.Unread.Load(), "resubmitted": f.Resubmitted.Load(), "unfinished": f.Unfinished.Load()})
+}
+
 // Faults are the counts so far.
 func (c *Core) Faults() *Faults { return &c.faults }
 
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -15,6 +15,7 @@
 	Deadline      time.Duration // when that is over, on the core's clock; 0 of a Partial call until Received
 	Again         bool          // the client says that it repeats itself
 	Partial       bool          // its message still comes in and can be read once
+	Careful       bool          // a repeat of it does harm: what may be closing is not for it
 	Window        time.Duration // of a keyed class: how long after the first attempt another may begin; else 0
 	Message       any           // only the front and the upstream of its protocol look into it
 
--- /dev/null
+++ b/internal/core/seam_test.go
@@ -0,0 +1,368 @@
+package core_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ryeweir/internal/core"
+	"ryeweir/logic"
+)
+
+// The seam is shown by a protocol of lines: a client says "class id", a server gets "id" and says "ok text", "busy" for one
+// that it has not begun, or closes. Nothing of it is known to the core.
+
+// lineServer is a stand-in server; what it says is up to say, an empty text closes the connection.
+type lineServer struct {
+	mu  sync.Mutex
+	got []string
+	at  []time.Time
+	say func(id string, n int) string
+}
+
+func (s *lineServer) serve(c net.Conn) {
+	defer c.Close()
+	id, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.got, s.at = append(s.got, strings.TrimSpace(id)), append(s.at, time.Now())
+	n := len(s.got)
+	s.mu.Unlock()
+	if text := s.say(strings.TrimSpace(id), n); text != "" {
+		io.WriteString(c, text+"\n")
+	}
+}
+
+func (s *lineServer) asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.got)
+}
+
+// lines is the upstream.
+type lines struct {
+	clock   core.Clock
+	servers map[string]*lineServer
+	running sync.WaitGroup
+	mu      sync.Mutex
+	lives   map[string]*core.Member
+}
+
+func (u *lines) Update(l core.List) (listed, ready int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if l.Full {
+		clear(u.lives)
+	}
+	for _, m := range l.Members {
+		if u.lives[m.ID] = &m; m.State == logic.Gone {
+			delete(u.lives, m.ID)
+		}
+	}
+	for _, m := range u.lives {
+		if m.State == logic.Ready {
+			ready++
+		}
+	}
+	return len(u.lives), ready
+}
+
+func (u *lines) Bind(server string) any {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.lives[server]
+}
+
+func (u *lines) Try(ctx context.Context, a *core.Attempt) {
+	u.mu.Lock()
+	m, _ := a.Target.(*core.Member)
+	well := m != nil && u.lives[m.ID] == m && m.State == logic.Ready
+	u.mu.Unlock()
+	out := core.Outcome{Result: logic.NotSent, Report: logic.NoReport}
+	if !well || a.Call.Over() {
+		a.Report(out)
+		return
+	}
+	near, far := net.Pipe()
+	defer near.Close()
+	u.running.Go(func() { u.servers[a.Server].serve(far) })
+	near.SetDeadline(u.clock.At(a.Until()))
+	fmt.Fprintln(near, a.Call.Message)
+	text, err := bufio.NewReader(near).ReadString('\n')
+	kind, rest, _ := strings.Cut(strings.TrimSpace(text), " ")
+	switch {
+	case err != nil && u.clock.Now() >= a.Until():
+		out.Result = logic.TimedOut
+	case err != nil:
+		out.Result = logic.Reset
+	case kind == "busy":
+		out.Result = logic.Rejected
+	default:
+		out.Result, out.Content = logic.OK, lineContent(rest)
+	}
+	a.Report(out)
+}
+
+type lineContent string
+
+func (lineContent) Drop() {}
+
+// stage is a core between a front and an upstream of lines.
+type stage struct {
+	*core.Core
+	t       *testing.T
+	up      *lines
+	clock   core.Clock
+	classes []logic.Class
+	ids     int
+}
+
+func settings() logic.Settings {
+	return logic.Settings{Balancers: 1, Tick: time.Millisecond, MaxAttempts: 4, MaxRetryAfter: time.Second, ColdFrom: 0.2, ColdFor: 10 * time.Second, Overload: 3,
+		Classes: []logic.Class{{Name: "read", Effect: logic.Safe, Aim: 100 * time.Millisecond, Deadline: 500 * time.Millisecond, Worth: 1},
+			{Name: "pay", Effect: logic.Unsafe, Aim: 100 * time.Millisecond, Deadline: 500 * time.Millisecond, Worth: 5}}}
+}
+
+// play runs a core with an upstream in fake time.
+func play(t *testing.T, servers map[string]*lineServer, wrap func(*lines) core.Upstream, during func(*stage)) {
+	synctest.Test(t, func(t *testing.T) {
+		set := settings()
+		balancer, err := logic.New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		up := &lines{clock: core.NewClock(), servers: servers, lives: map[string]*core.Member{}}
+		var upstream core.Upstream = up
+		if wrap != nil {
+			upstream = wrap(up)
+		}
+		c := core.New(core.Config{Balancer: balancer, Clock: up.clock, Upstream: upstream, Upload: time.Minute, Log: slog.New(slog.DiscardHandler)})
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { c.Run(ctx); close(ended) }()
+		s := &stage{Core: c, t: t, up: up, clock: up.clock, classes: set.Classes}
+		var all []core.Member
+		for id := range servers {
+			all = append(all, core.Member{Server: logic.Server{ID: id}})
+		}
+		c.SetList(core.List{Full: true, Members: all})
+		<-c.Listed()
+		during(s)
+		stop()
+		<-ended
+		up.running.Wait()
+	})
+}
+
+// call makes a client's line into a call.
+func (s *stage) call(class int) *core.Call {
+	s.ids++
+	id := fmt.Sprint("c", s.ids)
+	within := s.classes[class].Deadline
+	return &core.Call{ID: id, Class: class, Tenant: -1, Timeout: within, Deadline: s.clock.Now() + within, Message: id}
+}
+
+// ask is a client: it says what it got.
+func (s *stage) ask(class int) string {
+	a := <-s.Submit(s.call(class))
+	switch a.Verdict {
+	case core.Served:
+		return string(a.Content.(lineContent))
+	case core.Refused:
+		return "refused"
+	}
+	return "failed"
+}
+
+func fine(string, int) string { return "ok fine" }
+
+func TestLinesAreRetried(t *testing.T) {
+	for name, c := range map[string]struct {
+		class int
+		first string
+		want  string
+		asked int
+	}{
+		"turned away, must not repeat": {1, "busy", "fine", 2},
+		"closed, may repeat":           {0, "", "fine", 2},
+		"closed, must not repeat":      {1, "", "failed", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var both sync.Mutex
+			n := 0
+			say := func(string, int) string {
+				both.Lock()
+				defer both.Unlock()
+				if n++; n == 1 {
+					return c.first
+				}
+				return "ok fine"
+			}
+			servers := map[string]*lineServer{"a": {say: say}, "b": {say: say}}
+			play(t, servers, nil, func(s *stage) {
+				if got := s.ask(c.class); got != c.want {
+					t.Errorf("%q, want %q", got, c.want)
+				}
+			})
+			if asked := servers["a"].asked() + servers["b"].asked(); asked != c.asked {
+				t.Errorf("asked %d times, want %d", asked, c.asked)
+			}
+		})
+	}
+}
+
+func TestLinesOfADrainingAndAColdServer(t *testing.T) {
+	servers := map[string]*lineServer{"a": {say: fine}, "b": {say: fine}, "c": {say: fine}}
+	for _, s := range servers {
+		s.say = func(string, int) string { time.Sleep(10 * time.Millisecond); return "ok fine" }
+	}
+	play(t, servers, nil, func(s *stage) {
+		burst := func(n int) {
+			var all sync.WaitGroup
+			for range n {
+				call := s.call(0)
+				all.Go(func() {
+					if a := <-s.Submit(call); a.Verdict != core.Served {
+						t.Errorf("verdict %d", a.Verdict)
+					}
+				})
+				time.Sleep(time.Millisecond)
+			}
+			all.Wait()
+		}
+		burst(300)
+		s.SetList(core.List{Members: []core.Member{{Server: logic.Server{ID: "a", State: logic.Draining}}}})
+		synctest.Wait()
+		drained := servers["a"].asked()
+		// c starts anew at the same time: it is cold.
+		s.SetList(core.List{Members: []core.Member{{Server: logic.Server{ID: "c", Started: s.clock.Now()}}}})
+		synctest.Wait()
+		b, c := servers["b"].asked(), servers["c"].asked()
+		burst(300)
+		if servers["a"].asked() != drained {
+			t.Error("something new went to a draining server")
+		}
+		if b, c := servers["b"].asked()-b, servers["c"].asked()-c; c == 0 || c*2 > b {
+			t.Errorf("a cold server got %d, a warm one %d", c, b)
+		}
+	})
+}
+
+// A client that leaves gets nothing, its attempt's outcome still counts, and its id is free after that.
+func TestClientOfLinesLeaves(t *testing.T) {
+	servers := map[string]*lineServer{"a": {say: func(string, int) string { time.Sleep(100 * time.Millisecond); return "ok fine" }}}
+	play(t, servers, nil, func(s *stage) {
+		call := s.call(1)
+		answer := s.Submit(call)
+		time.Sleep(10 * time.Millisecond)
+		s.Leave(call)
+		synctest.Wait()
+		again := *s.call(1)
+		again.ID = call.ID
+		second := core.Call{ID: call.ID, Class: 1, Tenant: -1, Timeout: again.Timeout, Deadline: again.Deadline, Message: "second"}
+		if a := <-s.Submit(&second); a.Verdict != core.Duplicate {
+			t.Errorf("under the same id meanwhile: verdict %d", a.Verdict)
+		}
+		time.Sleep(time.Second)
+		if len(answer) != 0 || servers["a"].asked() != 1 {
+			t.Errorf("%d answers, asked %d times", len(answer), servers["a"].asked())
+		}
+		third := core.Call{ID: call.ID, Class: 1, Tenant: -1, Timeout: time.Second, Deadline: s.clock.Now() + time.Second, Message: "third"}
+		if a := <-s.Submit(&third); a.Verdict != core.Served {
+			t.Errorf("after that: verdict %d", a.Verdict)
+		}
+	})
+}
+
+// rude is an upstream that does not keep to what it owes.
+type rude struct {
+	core.Upstream
+	try func(ctx context.Context, a *core.Attempt)
+}
+
+func (u rude) Try(ctx context.Context, a *core.Attempt) { u.try(ctx, a) }
+
+// counted is content that counts how often it is given up.
+type counted struct{ drops *atomic.Int64 }
+
+func (c counted) Drop() { c.drops.Add(1) }
+
+// What an upstream or a front does wrong is caught and counted, and the account holds: one answer each, nothing repeated.
+func TestBorder(t *testing.T) {
+	ok := core.Outcome{Result: logic.OK, Report: logic.NoReport, Content: lineContent("fine")}
+	var drops atomic.Int64
+	for name, c := range map[string]struct {
+		try     func(ctx context.Context, a *core.Attempt)
+		verdict core.Verdict
+		count   func(*core.Faults) int64
+	}{
+		"two outcomes": {func(_ context.Context, a *core.Attempt) {
+			a.Report(ok)
+			a.Report(core.Outcome{Result: logic.Reset, Report: logic.NoReport, Content: counted{&drops}})
+		}, core.Served, func(f *core.Faults) int64 { return f.Twice.Load() }},
+		"no outcome": {func(context.Context, *core.Attempt) {}, core.Failed, func(f *core.Faults) int64 { return f.Unreported.Load() }},
+		"none in time": {func(ctx context.Context, _ *core.Attempt) { <-ctx.Done() }, core.Failed,
+			func(f *core.Faults) int64 { return f.Overdue.Load() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tries atomic.Int64
+			wrap := func(u *lines) core.Upstream {
+				return rude{u, func(ctx context.Context, a *core.Attempt) { tries.Add(1); c.try(ctx, a) }}
+			}
+			play(t, map[string]*lineServer{"a": {say: fine}, "b": {say: fine}}, wrap, func(s *stage) {
+				call := s.call(1)
+				answer := s.Submit(call)
+				if a := <-answer; a.Verdict != c.verdict {
+					t.Errorf("verdict %d", a.Verdict)
+				}
+				if s.Submit(call) != nil || s.Faults().Resubmitted.Load() != 1 {
+					t.Error("handed over twice")
+				}
+				time.Sleep(5 * time.Second)
+				if n := c.count(s.Faults()); n != 1 || tries.Load() != 1 || len(answer) != 0 {
+					t.Errorf("counted %d, %d tries, %d more answers", n, tries.Load(), len(answer))
+				}
+				again := s.call(1)
+				again.ID = call.ID
+				<-s.Submit(again) // its id is free: nothing is left of the first
+				if n := tries.Load(); n != 2 {
+					t.Errorf("%d tries", n)
+				}
+			})
+		})
+	}
+	if n := drops.Load(); n != 2 { // of the first call and of the one after it
+		t.Errorf("%d second answers were given up", n)
+	}
+}
+
+// A front that gives up without a word: the answer that it does not take is given up for it.
+func TestFrontGivesUp(t *testing.T) {
+	var drops atomic.Int64
+	wrap := func(u *lines) core.Upstream {
+		return rude{u, func(_ context.Context, a *core.Attempt) {
+			a.Report(core.Outcome{Result: logic.OK, Report: logic.NoReport, Content: counted{&drops}})
+		}}
+	}
+	play(t, map[string]*lineServer{"a": {say: fine}}, wrap, func(s *stage) {
+		s.Submit(s.call(0))
+		partial := s.call(0)
+		partial.Partial, partial.Deadline = true, 0
+		s.Submit(partial)
+		time.Sleep(5 * time.Second)
+		if n := s.Faults().Unread.Load(); n != 2 || drops.Load() != 2 {
+			t.Errorf("counted %d, given up %d", n, drops.Load())
+		}
+	})
+}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"strconv"
+	"sync/atomic"
 )
 
 // Listener is a listener whose connections are watched.
@@ -24,13 +25,20 @@
 // Conn is a watched connection. It is read by one goroutine at a time, as net/http does.
 type Conn struct {
 	net.Conn
-	heads scanner
+	heads           scanner
+	ambiguous, lost atomic.Bool // what it has found, for handlers: net/http may read on while they run
 }
 
 // Read reads, and looks at what came.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.heads.scan(p[:n])
+	if c.heads.ambiguous {
+		c.ambiguous.Store(true)
+	}
+	if c.heads.stopped {
+		c.lost.Store(true)
+	}
 	return n, err
 }
 
@@ -62,12 +70,32 @@
 // encoding, or with an encoding in HTTP/1.0, which knows none. Nothing on that connection can be trusted.
 func Ambiguous(ctx context.Context) bool {
 	c, ok := ctx.Value(key{}).(*Conn)
-	return ok && c.heads.ambiguous
+	return ok && c.ambiguous.Load()
+}
+
+// Lost reports whether the watch could not follow the connection's messages any more: nothing behind the present one must be
+// read from it.
+func Lost(ctx context.Context) bool {
+	c, ok := ctx.Value(key{}).(*Conn)
+	return ok && c.lost.Load()
+}
+
+// Reset makes the close of the connection of a handler's request a reset, where its network knows that: a client of HTTP/1.0
+// can't tell otherwise that an answer broke off.
+func Reset(ctx context.Context) {
+	c, ok := ctx.Value(key{}).(*Conn)
+	if !ok {
+		return
+	}
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		l.SetLinger(0) // without it the close is a plain one
+	}
 }
 
-// scanner goes from head to head, past bodies with a length. It stops at one in chunks: behind those no other message
-// must be read from the connection, which the server sees to by closing it.
+// scanner goes from head to head, past bodies with a length or in chunks (RFC 9112, section 7.1). It stops at what it can't
+// read: behind that no other message must be read from the connection, which the server sees to by closing it.
 type scanner struct {
+	part      part
 	ambiguous bool
 	stopped   bool
 	body      int64 // bytes of a body still to pass over
@@ -76,9 +104,20 @@
 	length    bool  // a Content-Length was there
 	size      int64
 	encoding  bool   // a Transfer-Encoding was there
+	chunked   bool   // and it is chunks alone
 	line      []byte // the beginning of the line, and of the first one the end
 }
 
+// part is where in a message the scanner is.
+type part int
+
+const (
+	head      part = iota
+	chunkSize      // the line before a chunk
+	chunkEnd       // the end of the line behind it
+	trailers
+)
+
 // longestLine is kept of a line: enough for the names and the figures that matter.
 const longestLine = 64
 
@@ -115,6 +154,8 @@
 	line := bytes.TrimSuffix(s.line, []byte("\r"))
 	s.line = s.line[:0]
 	switch {
+	case s.part != head:
+		s.chunkLine(line)
 	case !s.begun:
 		s.begun, s.old = true, !bytes.HasSuffix(line, []byte("HTTP/1.1"))
 	case len(line) == 0:
@@ -133,6 +174,7 @@
 			s.stopped = true // net/http refuses it, and closes
 		}
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		s.chunked = !s.encoding && bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked"))
 		s.encoding = true
 	}
 	if s.encoding && (s.length || s.old) {
@@ -141,5 +183,36 @@
 }
 
 func (s *scanner) headEnds() {
-	*s = scanner{ambiguous: s.ambiguous, stopped: s.stopped || s.encoding, body: s.size, line: s.line}
+	next := scanner{ambiguous: s.ambiguous, stopped: s.stopped, body: s.size, line: s.line}
+	if s.encoding {
+		next.stopped = s.stopped || s.ambiguous || !s.chunked
+		next.body, next.part, next.begun = 0, chunkSize, true // begun: of all lines the beginning counts
+	}
+	*s = next
+}
+
+// longestChunk is far more than any body may have.
+const longestChunk = 1 << 40
+
+// chunkLine takes in a line of a body in chunks.
+func (s *scanner) chunkLine(line []byte) {
+	switch s.part {
+	case chunkSize:
+		digits, _, _ := bytes.Cut(line, []byte(";"))
+		size, err := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 63)
+		switch {
+		case err != nil || size > longestChunk || len(line) >= longestLine: // a longer line is cut: who knows what it says
+			s.stopped = true
+		case size == 0:
+			s.part = trailers
+		default:
+			s.part, s.body = chunkEnd, int64(size)
+		}
+	case chunkEnd:
+		s.part, s.stopped = chunkSize, len(line) > 0
+	case trailers:
+		if len(line) == 0 {
+			s.part, s.begun = head, false
+		}
+	}
 }
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -25,6 +25,8 @@
 		"in a body":           {"POST / HTTP/1.1\r\nContent-Length: 61\r\n\r\nP / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", false},
 		"in a value":          {"GET / HTTP/1.1\r\nX: Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", false},
 		"names that go on":    {"GET / HTTP/1.1\r\nContent-Length-X: 5\r\nX-Transfer-Encoding: chunked\r\n\r\n", false},
+		"behind chunks":       {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\nB\r\n0\r\n\r\nGET / \r\n0\r\nT: v\r\n\r\nPOST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: x\r\n\r\n", true},
+		"in a chunk":          {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3A\r\nP / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: x\r\n\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n", false},
 		"behind a long value": {"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 5000) + "\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", true},
 	} {
 		for size := 1; size <= len(c.text); size = size*2 + 1 {
@@ -54,3 +56,26 @@
 		}
 	})
 }
+
+// What can't be followed is noticed, in chunks, too: nothing behind it is to be read.
+func TestLost(t *testing.T) {
+	const start = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for text, want := range map[string]bool{
+		start + "3\r\nabc\r\n0\r\n\r\n": false,
+		start + "3\r\nabcd\r\n":         true,
+		start + "xyz\r\n":               true,
+		start + "\r\n":                  true,
+		start + "-1\r\n":                true,
+		start + "FFFFFFFFFFFFFFF\r\n":   true,
+		start + "3" + strings.Repeat(";", longestLine) + "\r\n":                 true,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n":           true,
+		"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n":                          true,
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\n\r\n": false,
+	} {
+		var s scanner
+		s.scan([]byte(text))
+		if s.stopped != want {
+			t.Errorf("%q: %v", text, s.stopped)
+		}
+	}
+}
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -91,6 +91,7 @@
 		Again:   r.Header.Get(retriedHeader) == "1",
 		Timeout: timeout - min(deadlineMargin, timeout/4),
 		Partial: body.Rest != nil,
+		Careful: class.Effect != logic.Safe,
 		Message: m,
 	}
 	if class.Effect == logic.Keyed {
--- a/internal/front/http/serve.go
+++ b/internal/front/http/serve.go
@@ -61,7 +61,11 @@
 	for _, c := range s.Site.Logic.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	limited, cancel := context.WithTimeout(ctx, s.AcceptFor+min(longest, longestCounted)+DrainMost)
+	drainFor := s.AcceptFor + min(longest, longestCounted) + DrainMost
+	if s.DrainFor > 0 {
+		drainFor = max(s.AcceptFor, s.DrainFor)
+	}
+	limited, cancel := context.WithTimeout(ctx, drainFor)
 	defer cancel()
 	s.phase.end()
 	if !inherited { // else the process that follows accepts, and what this one took from it would come late
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -45,6 +45,7 @@
 	Budget    *flow.Budget  // for the bodies of requests
 	Most      int           // connections from clients that there may be
 	AcceptFor time.Duration // new connections are accepted for so long after the signal to end
+	DrainFor  time.Duration // answers that still flow may take so long after it; 0: what the platform allows
 	Log       *slog.Logger
 }
 
@@ -119,6 +120,7 @@
 		c.Deadline = took() + c.Timeout
 	} else {
 		rest.Ended = func() { s.Core.Received(c, took()) }
+		rest.Interrupt = func() { http.NewResponseController(w).SetReadDeadline(time.Now()) }
 	}
 	connlimit.Hold(r.Context())
 	defer s.held.Add(-1)
@@ -131,6 +133,15 @@
 	case a := <-answers:
 		s.write(w, r, c, a)
 	case <-r.Context().Done():
+		if rest != nil && rest.Stopped() { // it ended with the read that was interrupted; the answer is on its way
+			select {
+			case a := <-answers:
+				s.write(w, r, c, a)
+			case <-s.Core.Done():
+				s.write(w, r, c, core.Answer{Verdict: core.Failed})
+			}
+			return
+		}
 		s.Core.Leave(c)
 		if rest != nil {
 			http.NewResponseController(w).SetReadDeadline(time.Now()) // for an attempt that reads from it
@@ -182,10 +193,10 @@
 	return err
 }
 
-// closing lets the answer about to be written close its connection, where the agent wants clients off or has many. Behind
-// a body in chunks nothing is read that the framing check has not followed.
+// closing lets the answer about to be written close its connection, where the agent wants clients off or has many. Nothing is
+// read that the framing check has not followed.
 func (s *Server) closing(w http.ResponseWriter, r *http.Request) {
-	if s.phase.leaving() || s.crowded() || len(r.TransferEncoding) > 0 {
+	if s.phase.leaving() || s.crowded() || framing.Lost(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -234,10 +245,12 @@
 // pass passes on what a backend made, as it comes. What breaks off must not look whole: the connection is cut.
 func (s *Server) pass(w http.ResponseWriter, r *http.Request, c *core.Call, from *httpmsg.Content) {
 	defer from.Pipe.Close()
+	rest := c.Message.(*httpmsg.Message).Body.Rest
+	early := rest != nil && !rest.Whole() // the server did not wait for all of it
 	held, whole := from.Pipe.Whole()
 	if whole {
 		from.Length = int64(held)
-	} else { // a client that leaves ends the wait for more
+	} else if !early { // a client that leaves ends the wait for more
 		stop := context.AfterFunc(r.Context(), from.Pipe.Close)
 		defer stop()
 	}
@@ -249,13 +262,24 @@
 	if from.Kind != "" {
 		h.Set("Content-Type", from.Kind)
 	}
+	if early {
+		h.Set("Connection", "close")
+		http.NewResponseController(w).EnableFullDuplex()
+	}
 	w.WriteHeader(http.StatusOK)
 	out := &outflow{ResponseWriter: w, control: http.NewResponseController(w), flush: !whole}
 	if _, err := from.Pipe.WriteTo(out); err != nil {
 		s.Metrics.Answered(c.Class, metrics.Failed)
+		if !r.ProtoAtLeast(1, 1) { // to which a plain close would be the end of the answer
+			framing.Reset(r.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 	s.Metrics.Answered(c.Class, metrics.Completed)
+	if early {
+		out.control.Flush()
+		io.Copy(io.Discard, rest.From) // for a client that sends all before it reads
+	}
 }
 
 // outflow writes to a client for as long as it reads.
--- a/internal/httpmsg/body.go
+++ b/internal/httpmsg/body.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ryeweir/internal/flow"
@@ -59,11 +60,14 @@
 type Rest struct {
 	From  io.Reader
 	Ended func() // called when all has been read
-
-	mu     sync.Mutex
-	spent  bool  // some of it has been read
-	err    error // why no more can be had; io.EOF at the end
-	closed bool
+	// Interrupt ends a read of From that waits.
+	Interrupt func()
+
+	stopped atomic.Bool // the server has answered before it had all
+	mu      sync.Mutex
+	spent   bool  // some of it has been read
+	err     error // why no more can be had; io.EOF at the end
+	closed  bool
 }
 
 var errRestClosed = errors.New("the client's request is over")
@@ -71,7 +75,7 @@
 func (r *Rest) Read(p []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.closed {
+	if r.closed || r.stopped.Load() {
 		return 0, errRestClosed
 	}
 	if r.err != nil {
@@ -79,6 +83,9 @@
 	}
 	r.spent = true
 	n, err := r.From.Read(p)
+	if err != nil && err != io.EOF && r.stopped.Load() {
+		return n, errRestClosed // the client did nothing wrong
+	}
 	if r.err = err; err == io.EOF {
 		r.Ended()
 	}
@@ -95,6 +102,24 @@
 	return r.spent, err
 }
 
+// Stop ends the reading, also a read that waits: the server wants no more.
+func (r *Rest) Stop() {
+	r.stopped.Store(true)
+	if r.Interrupt != nil {
+		r.Interrupt()
+	}
+}
+
+// Stopped reports whether Stop was called.
+func (r *Rest) Stopped() bool { return r.stopped.Load() }
+
+// Whole reports whether all has been read.
+func (r *Rest) Whole() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.err == io.EOF
+}
+
 // Close lets no attempt read any more, also none that is late to notice. It waits for a read that is under way.
 func (r *Rest) Close() {
 	r.mu.Lock()
--- a/internal/lab/spec.go
+++ b/internal/lab/spec.go
@@ -165,13 +165,17 @@
 	return s.Day.Check("day.")
 }
 
-// FileKind is what a TOML file is, by its first tables: an experiment, a world or load.
+// FileKind is what a TOML file is, by its first tables: an experiment, a model of a fleet, an operators' file, a world or load.
 func FileKind(top map[string]any) string {
 	keys := make([]string, 0, len(top))
 	for k := range top {
 		keys = append(keys, k)
 	}
 	switch {
+	case slices.Contains(keys, "fleet_arm"):
+		return "fleet"
+	case slices.Contains(keys, "connections") || slices.Contains(keys, "drain"):
+		return "operator"
 	case slices.Contains(keys, "arm") || slices.Contains(keys, "repeats") || slices.Contains(keys, "question"):
 		return "experiment"
 	case slices.Contains(keys, "targets"):
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -26,6 +26,7 @@
 	pending     atomic.Int64
 	members     atomic.Int64
 	unavailable atomic.Int64
+	more        map[string]func() any
 }
 
 // New returns the figures for these classes, all at zero.
@@ -33,6 +34,14 @@
 	return &Metrics{classes: classes, downstream: make([][results]atomic.Int64, len(classes))}
 }
 
+// Add adds figures of another part under a name of their own. It is called before the figures are read.
+func (m *Metrics) Add(name string, figures func() any) {
+	if m.more == nil {
+		m.more = map[string]func() any{}
+	}
+	m.more[name] = figures
+}
+
 // Taken counts a request whose last byte has come, until Released.
 func (m *Metrics) Taken() { m.pending.Add(1) }
 
@@ -64,11 +73,23 @@
 		counts := &m.downstream[i]
 		downstream[name] = answers{counts[Completed].Load(), counts[Rejected].Load(), counts[Failed].Load()}
 	}
-	return json.Marshal(struct {
+	own, err := json.Marshal(struct {
 		Downstream  map[string]answers `json:"downstream_requests"`
 		Upstream    int64              `json:"upstream_requests"`
 		Pending     int64              `json:"pending"`
 		Members     int64              `json:"members"`
 		Unavailable int64              `json:"members_unavailable"`
 	}{downstream, m.upstream.Load(), m.pending.Load(), m.members.Load(), m.unavailable.Load()})
+	if err != nil || len(m.more) == 0 {
+		return own, err
+	}
+	all := make(map[string]any, len(m.more))
+	for name, figures := range m.more {
+		all[name] = figures()
+	}
+	more, err := json.Marshal(all)
+	if err != nil {
+		return nil, err
+	}
+	return append(append(own[:len(own)-1], ','), more[1:]...), nil
 }
--- /dev/null
+++ b/internal/pool/table.go
@@ -0,0 +1,624 @@
+package pool
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Table decides what becomes of connections: which is used, which is opened or closed, who waits. It does no I/O and reads no
+// clock: events go in with the time, actions come out and are carried out in order. The time never goes back.
+//
+// A slot is a connection, a node one life of a server, a waiter an attempt that waits for a connection. Every slot is opening
+// until Opened or OpenFailed, then in use or idle until it is closed. A waiter gets one Hand or one Refuse, unless Cancel comes
+// before.
+type Table struct {
+	set     Settings
+	rng     *rand.Rand
+	nodes   []*Node // listed, or with slots
+	open    int     // slots that are open
+	opening int
+	idle    int
+	waiting int
+	turns   uint64
+	actions []Action
+	counts  Counts
+}
+
+// Node is one life of a server under one address: a restart or another address makes a new one.
+type Node struct {
+	ID, Addr string
+	started  time.Duration // 0: long ago
+	at       int           // in the table's nodes; -1 when it is not there any more
+	ready    bool          // may get new requests
+	retired  bool
+	places   int // slots open or opening
+	opening  int
+	idle     []*Slot   // those that came back first come first
+	waiters  []*Waiter // oldest first
+
+	idleLimit time.Duration // as learnt then
+	learnt    time.Duration
+	suspect   time.Duration   // connections not proven since are suspect; 0: none
+	failures  []time.Duration // broken exchanges lately
+	dialFails int             // in a row
+
+	rate      float64 // sends a second, smoothed
+	rated     time.Duration
+	handshake float64 // seconds that one takes, smoothed
+	nextAhead time.Duration
+}
+
+// Slot is a connection.
+type Slot struct {
+	Node     *Node
+	Conn     *Conn // of those who carry out; the table does not look into it
+	opened   time.Duration
+	ends     time.Duration // its age limit; 0: none
+	uses     int
+	came     time.Duration // when it came back idle
+	proven   time.Duration // when its latest exchange ended in order, or it came up
+	stood    time.Duration // how long it had been idle when it was handed out; 0 when fresh
+	inUse    bool
+	ahead    bool // opened ahead of need, not used so far
+	takeable bool // is in its node's idle list
+}
+
+// Waiter is an attempt that waits.
+type Waiter struct {
+	node    *Node
+	careful bool
+	since   time.Duration
+	turn    uint64
+	Answer  chan Action // holds one: a Hand or a Refuse
+}
+
+// Kind is what an Action does.
+type Kind int
+
+// The kinds.
+const (
+	Open   Kind = iota // Slot: a handshake with its node
+	Close              // Slot, for Why
+	Hand               // Slot to Waiter
+	Refuse             // Waiter, for Why
+)
+
+// Why is the reason of a Close or a Refuse.
+type Why int
+
+// The reasons.
+const (
+	WhyIdle    Why = iota // stood idle near the server's limit
+	WhyAge                // reached its age or number of uses
+	WhyStale              // found closed, or with something to read, before use
+	WhySuspect            // older than a burst of failures
+	WhyCrossed            // closed by the server while a request went out on it
+	WhyBroken             // its exchange broke or left it out of order
+	WhyRetired            // its server drains, is gone or has started anew
+	WhyRoom               // made room for another
+	WhyEnd                // the pool has closed
+	NoRoom                // refused: no place came free in time, or too many wait
+	NoServer              // refused: the server takes nothing new
+	NoConnect             // refused: the server's handshake failed, or takes too long
+	reasons    int = iota
+)
+
+// String names the reason as the figures do.
+func (w Why) String() string {
+	return [...]string{"idle", "age", "stale", "suspect", "crossed", "broken", "retired", "room", "end", "no_room", "no_server", "no_connect"}[w]
+}
+
+// Action is something to be carried out.
+type Action struct {
+	Kind   Kind
+	Slot   *Slot
+	Waiter *Waiter
+	Why    Why
+}
+
+// How says how an exchange left its connection.
+type How int
+
+// The ways.
+const (
+	InOrder How = iota // it can be used again
+	Unused             // nothing was written on it
+	Over               // in order, but to be closed
+	Crossed            // the server closed it before any part of an answer
+	Broken             // anything else
+)
+
+// NewTable returns a table. Its random numbers follow from the seed.
+func NewTable(set Settings, seed uint64) *Table {
+	return &Table{set: set, rng: rand.New(rand.NewPCG(seed, 2))}
+}
+
+// begin starts an event.
+func (t *Table) begin() { t.actions = t.actions[:0] }
+
+func (t *Table) act(a Action) { t.actions = append(t.actions, a) }
+
+// NewNode begins a server's life. A start that is in the future counts as now.
+func (t *Table) NewNode(now time.Duration, id, addr string, started time.Duration) *Node {
+	n := &Node{ID: id, Addr: addr, started: min(started, now), idleLimit: t.idleFull(), learnt: now, rated: now, at: len(t.nodes)}
+	t.nodes = append(t.nodes, n)
+	n.nextAhead = now + time.Duration(t.rng.Float64()*float64(t.aheadPause(now, n))) // all agents hear of a start at once
+	return n
+}
+
+// Configure puts other settings into force. Places that are too many by then go as they come free.
+func (t *Table) Configure(now time.Duration, set Settings) []Action {
+	t.begin()
+	t.set = set
+	for _, n := range t.nodes {
+		for len(n.idle) > 0 && (t.open+t.opening > set.Most || n.places > set.PerNode) {
+			t.close(n.idle[0], WhyRoom)
+		}
+	}
+	t.fill(now)
+	return t.actions
+}
+
+// SetReady says whether a server may get something new. Where it may not, what waits for it is refused and its idle
+// connections close; those in use close when they come back.
+func (t *Table) SetReady(now time.Duration, n *Node, ready bool) []Action {
+	t.begin()
+	n.ready = ready
+	if !ready {
+		t.refuseAll(n, NoServer)
+		t.closeIdle(n, WhyRetired)
+		t.fill(now)
+	}
+	return t.actions
+}
+
+// Retire ends a server's life.
+func (t *Table) Retire(now time.Duration, n *Node) []Action {
+	t.SetReady(now, n, false)
+	n.retired = true
+	t.forget(n)
+	return t.actions
+}
+
+// Want asks for a connection. It returns a slot at once, or a waiter that has got or will get an answer.
+func (t *Table) Want(now time.Duration, n *Node, careful bool) (*Slot, *Waiter, []Action) {
+	t.begin()
+	if n == nil || !n.ready {
+		return nil, t.refused(NoServer), t.actions
+	}
+	n.sends(now)
+	if s := t.pick(now, n, careful); s != nil {
+		t.hand(now, s)
+		t.openAhead(now, n)
+		return s, nil, t.actions
+	}
+	if t.waiting >= t.set.Waiting {
+		t.counts.Refused++
+		return nil, t.refused(NoRoom), t.actions
+	}
+	w := &Waiter{node: n, careful: careful, since: now, turn: t.turns, Answer: make(chan Action, 1)}
+	t.turns++
+	n.waiters = append(n.waiters, w)
+	t.waiting++
+	before := t.opening
+	t.fill(now)
+	if t.opening == before {
+		t.counts.Waited++
+	}
+	return nil, w, t.actions
+}
+
+// refused is a waiter that has its answer.
+func (t *Table) refused(why Why) *Waiter {
+	w := &Waiter{Answer: make(chan Action, 1)}
+	t.act(Action{Kind: Refuse, Waiter: w, Why: why})
+	return w
+}
+
+// Cancel takes back a waiter that has no answer so far. It says why there was none in time: the server's handshakes take too
+// long, or there was no place.
+func (t *Table) Cancel(now time.Duration, w *Waiter) Why {
+	t.begin()
+	t.unqueue(w)
+	t.counts.WaitedOut++
+	if w.node.opening > 0 || w.node.dialFails > 0 {
+		return NoConnect
+	}
+	return NoRoom
+}
+
+// Stale says that a slot which was just handed out is of no use: it was closed, or has something to read.
+func (t *Table) Stale(now time.Duration, s *Slot) []Action {
+	t.begin()
+	s.uses--
+	t.close(s, WhyStale)
+	t.fill(now)
+	return t.actions
+}
+
+// Opened says that a handshake is done. Who asked for it may have got another connection meanwhile.
+func (t *Table) Opened(now time.Duration, s *Slot) []Action {
+	t.begin()
+	n := s.Node
+	t.opening--
+	n.opening--
+	t.open++
+	took := (now - s.opened).Seconds()
+	if n.handshake == 0 {
+		n.handshake = took
+	}
+	n.handshake += handshakeWeight * (took - n.handshake)
+	n.dialFails = 0
+	s.opened, s.proven = now, now
+	if t.set.MaxAge > 0 {
+		s.ends = now + time.Duration(float64(t.set.MaxAge)*(1-t.set.AgeJitter*t.rng.Float64()))
+	}
+	t.counts.Opened++
+	s.inUse = true
+	t.free(now, s)
+	t.fill(now)
+	return t.actions
+}
+
+// OpenFailed says that a handshake failed. Who has waited for longest is told so: it was the one that asked for it.
+func (t *Table) OpenFailed(now time.Duration, s *Slot) []Action {
+	t.begin()
+	n := s.Node
+	t.opening--
+	n.opening--
+	n.dialFails++
+	t.leave(n)
+	t.counts.OpenFailed++
+	if !s.ahead && len(n.waiters) > 0 {
+		w := n.waiters[0]
+		t.unqueue(w)
+		t.act(Action{Kind: Refuse, Waiter: w, Why: NoConnect})
+	}
+	t.fill(now)
+	return t.actions
+}
+
+// Done gives a slot back after use.
+func (t *Table) Done(now time.Duration, s *Slot, how How) []Action {
+	t.begin()
+	n := s.Node
+	switch how {
+	case InOrder:
+		s.proven = now
+		t.free(now, s)
+	case Unused:
+		t.free(now, s)
+	case Over:
+		t.close(s, WhyAge)
+	case Crossed:
+		t.learn(now, n, s.stood)
+		t.close(s, WhyCrossed)
+		t.suspectAll(now, n)
+	case Broken:
+		t.close(s, WhyBroken)
+		t.failed(now, n)
+	}
+	t.fill(now)
+	return t.actions
+}
+
+// Sweep closes what has grown old, and opens what will be needed. stale are idle slots that were found closed.
+func (t *Table) Sweep(now time.Duration, stale []*Slot) []Action {
+	t.begin()
+	for _, s := range stale {
+		if s.takeable {
+			t.close(s, WhyStale)
+		}
+	}
+	for _, n := range slices.Clone(t.nodes) {
+		for _, s := range slices.Clone(n.idle) {
+			if why, ends := t.expired(now, s); ends {
+				t.close(s, why)
+			}
+		}
+		t.openAhead(now, n)
+	}
+	t.fill(now)
+	return t.actions
+}
+
+// Idle are the idle slots, to look at.
+func (t *Table) Idle(to []*Slot) []*Slot {
+	for _, n := range t.nodes {
+		to = append(to, n.idle...)
+	}
+	return to
+}
+
+// End closes all that is idle and refuses all that waits. What is in use closes when it comes back.
+func (t *Table) End(now time.Duration) []Action {
+	t.begin()
+	for _, n := range slices.Clone(t.nodes) {
+		n.ready = false
+		t.refuseAll(n, NoServer)
+		t.closeIdle(n, WhyEnd)
+	}
+	return t.actions
+}
+
+// pick is the idle slot to use, or nil: a fresh one is to be had then, or there is none.
+func (t *Table) pick(now time.Duration, n *Node, careful bool) *Slot {
+	var best, unsure *Slot
+	for i := len(n.idle) - 1; i >= 0; i-- {
+		s := n.idle[i]
+		if why, ends := t.expired(now, s); ends {
+			t.close(s, why)
+			continue
+		}
+		suspect := s.proven < n.suspect
+		if careful && (suspect || now-s.came > t.sure(now, n)) {
+			if !suspect && (unsure == nil || s.came > unsure.came) {
+				unsure = s
+			}
+			continue
+		}
+		if best == nil || t.before(s, best, suspect, best.proven < n.suspect) {
+			best = s
+		}
+		if t.set.Order == Newest && now-n.suspect > t.idleFull() { // nothing that is suspect is left
+			break
+		}
+	}
+	if best == nil && !t.room(n) {
+		return unsure
+	}
+	return best
+}
+
+// before reports whether s goes first. What is suspect is tried first, with what may be repeated.
+func (t *Table) before(s, best *Slot, suspect, bestSuspect bool) bool {
+	if suspect != bestSuspect {
+		return suspect
+	}
+	switch t.set.Order {
+	case Oldest:
+		return s.came < best.came || s.came == best.came && s.opened < best.opened
+	case Fewest:
+		return s.uses < best.uses
+	}
+	return false // the walk begins at the newest
+}
+
+// expired reports whether an idle slot is not to be used again.
+func (t *Table) expired(now time.Duration, s *Slot) (Why, bool) {
+	switch {
+	case s.proven < s.Node.suspect && t.set.SuspectClose:
+		return WhySuspect, true
+	case now-s.came >= t.limit(now, s.Node):
+		return WhyIdle, true
+	case s.ends > 0 && now >= s.ends, t.set.MaxUses > 0 && s.uses >= t.set.MaxUses:
+		return WhyAge, true
+	}
+	return 0, false
+}
+
+func (t *Table) hand(now time.Duration, s *Slot) {
+	t.take(s)
+	s.inUse = true
+	s.stood = now - s.came
+	if s.uses > 0 {
+		t.counts.Reused++
+	}
+	if s.ahead {
+		s.ahead = false
+		t.counts.AheadUsed++
+	}
+	s.uses++
+}
+
+// take removes a slot from its idle list.
+func (t *Table) take(s *Slot) {
+	if !s.takeable {
+		return
+	}
+	s.takeable = false
+	t.idle--
+	i := slices.Index(s.Node.idle, s)
+	s.Node.idle = slices.Delete(s.Node.idle, i, i+1)
+}
+
+// free takes a slot that has come free: for who waits, or among the idle ones.
+func (t *Table) free(now time.Duration, s *Slot) {
+	n := s.Node
+	s.inUse = false
+	s.came = now
+	if !n.ready {
+		t.close(s, WhyRetired)
+		return
+	}
+	if why, ends := t.expired(now, s); ends {
+		t.close(s, why)
+		return
+	}
+	if t.open+t.opening > t.set.Most || n.places > t.set.PerNode || len(n.waiters) > 0 && t.starving(n) {
+		t.close(s, WhyRoom)
+		return
+	}
+	n.idle = append(n.idle, s)
+	s.takeable = true
+	t.idle++
+	for i, w := range n.waiters {
+		if w.careful && s.proven < n.suspect {
+			continue
+		}
+		n.waiters = slices.Delete(n.waiters, i, i+1)
+		t.waiting--
+		t.hand(now, s)
+		t.act(Action{Kind: Hand, Waiter: w, Slot: s})
+		return
+	}
+}
+
+// starving reports whether all places are taken and another server has fewer than this one, and somebody who has waited for
+// longer: then this one gives a place up. The last places go round in turn.
+func (t *Table) starving(n *Node) bool {
+	if t.open+t.opening < t.set.Most || t.idle > 0 {
+		return false
+	}
+	for _, o := range t.nodes {
+		if o != n && len(o.waiters) > o.opening && o.places+1 < n.places && o.waiters[0].turn < n.waiters[0].turn {
+			return true
+		}
+	}
+	return false
+}
+
+// unqueue takes a waiter out of the queue.
+func (t *Table) unqueue(w *Waiter) {
+	if i := slices.Index(w.node.waiters, w); i >= 0 {
+		w.node.waiters = slices.Delete(w.node.waiters, i, i+1)
+		t.waiting--
+	}
+}
+
+func (t *Table) refuseAll(n *Node, why Why) {
+	t.waiting -= len(n.waiters)
+	for _, w := range n.waiters {
+		t.act(Action{Kind: Refuse, Waiter: w, Why: why})
+	}
+	n.waiters = nil
+}
+
+// close closes a slot that is open.
+func (t *Table) close(s *Slot, why Why) {
+	t.take(s)
+	s.inUse = false
+	t.open--
+	t.counts.Closed[why]++
+	if s.ahead {
+		t.counts.AheadWasted++
+	}
+	t.leave(s.Node)
+	t.act(Action{Kind: Close, Slot: s, Why: why})
+}
+
+// leave frees a place.
+func (t *Table) leave(n *Node) {
+	n.places--
+	t.forget(n)
+}
+
+// forget drops a node whose life is over once nothing is left of it.
+func (t *Table) forget(n *Node) {
+	if !n.retired || n.places > 0 || n.at < 0 {
+		return
+	}
+	last := len(t.nodes) - 1
+	t.nodes[n.at] = t.nodes[last]
+	t.nodes[n.at].at = n.at
+	t.nodes[last] = nil
+	t.nodes = t.nodes[:last]
+	n.at = -1
+}
+
+func (t *Table) closeIdle(n *Node, why Why) {
+	for len(n.idle) > 0 {
+		t.close(n.idle[len(n.idle)-1], why)
+	}
+}
+
+// room reports whether a handshake with the server may begin now, if need be in the place of an idle connection of another.
+func (t *Table) room(n *Node) bool {
+	return n.ready && n.places < t.set.PerNode && n.opening < t.openingMost(n) && t.opening < t.set.Opening &&
+		(t.open+t.opening < t.set.Most || t.idle > 0)
+}
+
+// openingMost is how many handshakes a server may have at once: one whose latest failed gets few.
+func (t *Table) openingMost(n *Node) int {
+	if n.dialFails > 0 {
+		return max(1, t.set.OpeningPerNode/4)
+	}
+	return t.set.OpeningPerNode
+}
+
+// fill begins handshakes for those who wait and have none under way: for the server with the fewest places first, and of
+// equals for who has waited for longest.
+func (t *Table) fill(now time.Duration) {
+	for t.waiting > 0 {
+		var best *Node
+		for _, n := range t.nodes {
+			if len(n.waiters) <= n.opening || !t.room(n) {
+				continue
+			}
+			if best == nil || n.places < best.places || n.places == best.places && n.waiters[0].turn < best.waiters[0].turn {
+				best = n
+			}
+		}
+		if best == nil {
+			return
+		}
+		t.start(now, best, false)
+	}
+}
+
+// start begins a handshake. Where all places are taken the connection closes that has stood idle for longest.
+func (t *Table) start(now time.Duration, n *Node, ahead bool) {
+	if t.open+t.opening >= t.set.Most {
+		var oldest *Slot
+		for _, o := range t.nodes {
+			if len(o.idle) > 0 && (oldest == nil || o.idle[0].came < oldest.came || o.idle[0].came == oldest.came && o.ID < oldest.Node.ID) {
+				oldest = o.idle[0]
+			}
+		}
+		t.close(oldest, WhyRoom)
+	}
+	n.places++
+	n.opening++
+	t.opening++
+	t.act(Action{Kind: Open, Slot: &Slot{Node: n, opened: now, ahead: ahead}})
+}
+
+// idleFull is the idle limit as the settings have it.
+func (t *Table) idleFull() time.Duration { return time.Duration(t.set.IdlePart * float64(t.set.Idle)) }
+
+// limit is how long a connection may stand idle and be used again.
+func (t *Table) limit(now time.Duration, n *Node) time.Duration {
+	full := t.idleFull()
+	if n.idleLimit >= full {
+		return full
+	}
+	return min(full, time.Duration(float64(n.idleLimit)*math.Exp2(float64(now-n.learnt)/float64(t.set.IdleHeal))))
+}
+
+// sure is how long it may have stood for what must not repeat.
+func (t *Table) sure(now time.Duration, n *Node) time.Duration {
+	return time.Duration(t.set.SurePart * float64(t.limit(now, n)))
+}
+
+// learn takes in that a server closed a connection that had stood idle for so long just as a request went out on it.
+func (t *Table) learn(now time.Duration, n *Node, stood time.Duration) {
+	lower := max(t.set.IdleLeast, time.Duration(t.set.IdlePart*float64(stood)))
+	if lower < t.limit(now, n) {
+		n.idleLimit, n.learnt = lower, now
+	}
+}
+
+// failed counts a broken exchange.
+func (t *Table) failed(now time.Duration, n *Node) {
+	if t.set.SuspectFailures == 0 {
+		return
+	}
+	n.failures = slices.DeleteFunc(append(n.failures, now), func(at time.Duration) bool { return now-at > t.set.SuspectWithin })
+	if len(n.failures) >= t.set.SuspectFailures {
+		n.failures = n.failures[:0]
+		t.suspectAll(now, n)
+	}
+}
+
+// suspectAll makes all of a server's connections suspect that are not proven after now.
+func (t *Table) suspectAll(now time.Duration, n *Node) {
+	if t.set.SuspectFailures == 0 {
+		return
+	}
+	n.suspect = now
+	if t.set.SuspectClose {
+		t.closeIdle(n, WhySuspect)
+	}
+}
--- /dev/null
+++ b/internal/pool/table_test.go
@@ -0,0 +1,475 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// history carries out a table's actions in a model and checks each.
+type history struct {
+	t       *rapid.T
+	table   *Table
+	set     Settings
+	now     time.Duration
+	nodes   []*Node
+	over    map[*Node]bool // lives that have ended
+	opening []*Slot
+	used    []*Slot
+	open    map[*Slot]bool
+	waiting map[*Waiter]bool
+	most    int // attempts that hold or await a connection
+}
+
+func (h *history) do(actions []Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case Open:
+			if !a.Slot.Node.ready {
+				h.t.Fatal("a handshake with a server that takes nothing new")
+			}
+			h.opening = append(h.opening, a.Slot)
+		case Close:
+			if !h.open[a.Slot] {
+				h.t.Fatalf("closed what is not open, for %v", a.Why)
+			}
+			delete(h.open, a.Slot)
+		case Hand:
+			h.handed(a.Slot, a.Waiter.node, a.Waiter.careful)
+			h.answered(a.Waiter)
+		case Refuse:
+			h.answered(a.Waiter)
+		}
+	}
+}
+
+func (h *history) answered(w *Waiter) {
+	if w.node == nil {
+		return // refused at once
+	}
+	if !h.waiting[w] {
+		h.t.Fatal("an answer to one that does not wait")
+	}
+	delete(h.waiting, w)
+}
+
+func (h *history) handed(s *Slot, n *Node, careful bool) {
+	if !h.open[s] || s.Node != n || !n.ready || h.over[n] {
+		h.t.Fatal("handed out a connection that is closed, of another life, or of a server that takes nothing new")
+	}
+	for _, u := range h.used {
+		if u == s {
+			h.t.Fatal("handed out twice")
+		}
+	}
+	if careful && s.proven < n.suspect {
+		h.t.Fatal("a suspect connection for what must not repeat")
+	}
+	h.used = append(h.used, s)
+}
+
+func (h *history) check() {
+	c := h.table.Counts()
+	if c.Open != len(h.open) || c.Opening != len(h.opening) || c.Waiting != len(h.waiting) || c.Open-c.Idle != len(h.used) {
+		h.t.Fatalf("it counts %+v; there are %d open, %d opening, %d waiting, %d used", c, len(h.open), len(h.opening), len(h.waiting), len(h.used))
+	}
+	if c.Open+c.Opening > h.set.Most || c.Opening > h.set.Opening || c.Waiting > h.set.Waiting {
+		h.t.Fatalf("over a cap: %+v", c)
+	}
+	for _, n := range h.table.nodes {
+		if n.places > h.set.PerNode || n.opening > h.set.OpeningPerNode {
+			h.t.Fatalf("over a cap of a server: %d places, %d opening", n.places, n.opening)
+		}
+		if len(n.waiters) > n.opening && h.table.room(n) {
+			h.t.Fatal("somebody waits and a handshake could begin")
+		}
+		if !n.ready && (len(n.waiters) > 0 || len(n.idle) > 0) {
+			h.t.Fatal("something waits for, or is kept to, a server that takes nothing new")
+		}
+	}
+}
+
+func take[T any](t *rapid.T, from *[]T) (x T, ok bool) {
+	if len(*from) == 0 {
+		return x, false
+	}
+	i := rapid.IntRange(0, len(*from)-1).Draw(t, "which")
+	x = (*from)[i]
+	*from = append((*from)[:i], (*from)[i+1:]...)
+	return x, true
+}
+
+// Whatever happens in whatever order: caps hold, nobody gets what is closed or another's, all who wait are answered once, and
+// in the end nothing is left.
+func TestAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := DefaultSettings(rapid.IntRange(1, 12).Draw(t, "most"))
+		set.PerNode = rapid.IntRange(1, 6).Draw(t, "per node")
+		set.Opening = rapid.IntRange(1, 4).Draw(t, "opening")
+		set.OpeningPerNode = rapid.IntRange(1, 3).Draw(t, "opening per node")
+		set.Waiting = rapid.IntRange(0, 8).Draw(t, "waiting")
+		set.Order = Order(rapid.IntRange(0, 2).Draw(t, "order"))
+		set.MaxUses = rapid.IntRange(0, 3).Draw(t, "uses")
+		set.MaxAge = time.Duration(rapid.IntRange(0, 2).Draw(t, "age")) * time.Second
+		set.AgeJitter, set.SuspectClose = 0.5, rapid.Bool().Draw(t, "close suspects")
+		set.AheadRate = float64(rapid.IntRange(0, 1).Draw(t, "ahead")) * 100
+		h := &history{t: t, table: NewTable(set, 1), set: set, now: time.Second, over: map[*Node]bool{}, open: map[*Slot]bool{}, waiting: map[*Waiter]bool{}}
+		started := 0
+		begin := func() {
+			started++
+			n := h.table.NewNode(h.now, fmt.Sprint(started), "", 0)
+			h.nodes = append(h.nodes, n)
+			h.do(h.table.SetReady(h.now, n, true))
+		}
+		begin()
+		begin()
+		node := func() *Node { return h.nodes[rapid.IntRange(0, len(h.nodes)-1).Draw(t, "node")] }
+		want := func(t *rapid.T) {
+			n, careful := node(), rapid.Bool().Draw(t, "careful")
+			s, w, actions := h.table.Want(h.now, n, careful)
+			if w != nil && w.node != nil {
+				h.waiting[w] = true
+			}
+			h.do(actions)
+			if s != nil {
+				h.handed(s, n, careful)
+			}
+		}
+		opened := func(t *rapid.T) {
+			if s, ok := take(t, &h.opening); ok {
+				h.open[s] = true
+				h.do(h.table.Opened(h.now, s))
+			}
+		}
+		done := func(t *rapid.T) {
+			if s, ok := take(t, &h.used); ok {
+				h.do(h.table.Done(h.now, s, How(rapid.IntRange(0, 4).Draw(t, "how"))))
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"want": want, "want again": want, "opened": opened, "done": done, "done again": done,
+			"failed": func(t *rapid.T) {
+				if s, ok := take(t, &h.opening); ok {
+					h.do(h.table.OpenFailed(h.now, s))
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				for w := range h.waiting {
+					h.table.Cancel(h.now, w)
+					delete(h.waiting, w)
+					return
+				}
+			},
+			"stale": func(t *rapid.T) {
+				if s, ok := take(t, &h.used); ok {
+					h.do(h.table.Stale(h.now, s))
+				}
+			},
+			"drain or not": func(t *rapid.T) {
+				n := node()
+				h.do(h.table.SetReady(h.now, n, rapid.Bool().Draw(t, "ready")))
+			},
+			"restart": func(t *rapid.T) {
+				n, _ := take(t, &h.nodes)
+				h.do(h.table.Retire(h.now, n))
+				h.over[n] = true
+				begin()
+			},
+			"configure": func(t *rapid.T) { // only to more places: with fewer the caps hold later
+				h.set.Most, h.set.PerNode = h.set.Most+1, h.set.PerNode+1
+				h.do(h.table.Configure(h.now, h.set))
+			},
+			"sweep": func(t *rapid.T) { h.do(h.table.Sweep(h.now, nil)) },
+			"time":  func(t *rapid.T) { h.now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond },
+			"":      func(t *rapid.T) { h.check() },
+		})
+		for len(h.opening) > 0 {
+			opened(t)
+		}
+		h.do(h.table.End(h.now))
+		for len(h.used) > 0 {
+			done(t)
+		}
+		for _, n := range h.nodes {
+			h.do(h.table.Retire(h.now, n))
+		}
+		h.check()
+		if len(h.open) > 0 || len(h.waiting) > 0 || len(h.table.nodes) > 0 {
+			t.Fatalf("left: %d open, %d waiting, %d servers", len(h.open), len(h.waiting), len(h.table.nodes))
+		}
+	})
+}
+
+// bench is a table in which handshakes are done at once.
+type bench struct {
+	*Table
+	t   *testing.T
+	now time.Duration
+}
+
+func newBench(t *testing.T, change func(*Settings)) (*bench, *Node) {
+	set := DefaultSettings(40)
+	if change != nil {
+		change(&set)
+	}
+	b := &bench{Table: NewTable(set, 1), t: t, now: time.Second}
+	return b, b.node("a")
+}
+
+func (b *bench) node(id string) *Node {
+	n := b.NewNode(b.now, id, id, 0)
+	b.SetReady(b.now, n, true)
+	return n
+}
+
+// get is a connection, as one that is fresh or one that was used before.
+func (b *bench) get(n *Node, careful bool) *Slot {
+	b.t.Helper()
+	s, w, actions := b.Want(b.now, n, careful)
+	if s != nil {
+		return s
+	}
+	for _, a := range append([]Action(nil), actions...) {
+		if a.Kind != Open {
+			continue
+		}
+		for _, a := range b.Opened(b.now, a.Slot) {
+			if a.Kind == Hand && a.Waiter == w {
+				return a.Slot
+			}
+		}
+	}
+	return nil
+}
+
+// three are connections that came back in this order, a second apart, the second one after two uses.
+func (b *bench) three(n *Node) (s [3]*Slot) {
+	for i := range s {
+		s[i] = b.get(n, false)
+	}
+	s[0].uses, s[1].uses, s[2].uses = 3, 2, 4
+	for i := range s {
+		b.now += time.Second
+		b.Done(b.now, s[i], InOrder)
+	}
+	return s
+}
+
+func TestOrders(t *testing.T) {
+	for order, want := range map[Order]int{Newest: 2, Oldest: 0, Fewest: 1} {
+		b, n := newBench(t, func(s *Settings) { s.Order = order })
+		s := b.three(n)
+		if got := b.get(n, false); got != s[want] {
+			t.Errorf("order %d does not use connection %d", order, want)
+		}
+	}
+}
+
+func TestAgeAndUses(t *testing.T) {
+	b, n := newBench(t, func(s *Settings) { s.MaxAge, s.AgeJitter, s.Order = 4*time.Second, 0.5, Oldest })
+	ends := map[time.Duration]bool{}
+	for _, s := range b.three(n) {
+		ends[s.ends] = true
+		if life := s.ends - s.opened; life < 2*time.Second || life > 4*time.Second {
+			t.Errorf("a life of %v", life)
+		}
+	}
+	if len(ends) != 3 {
+		t.Error("connections opened together end together")
+	}
+	b.now += 4 * time.Second
+	if s := b.get(n, false); s.uses != 1 || b.Counts().Closed[WhyAge] != 3 {
+		t.Errorf("an old one is used again: %+v", b.Counts())
+	}
+	b, n = newBench(t, func(s *Settings) { s.MaxUses = 2 })
+	first := b.get(n, false)
+	for range 2 {
+		b.Done(b.now, first, InOrder)
+		if s := b.get(n, false); (s == first) != (s.uses == 2) {
+			t.Errorf("%d uses", s.uses)
+		}
+	}
+}
+
+// A close that crosses a request teaches a lower idle limit, which rises again; what must not repeat keeps further away.
+func TestIdleLimitLearns(t *testing.T) {
+	b, n := newBench(t, nil)
+	if got := b.limit(b.now, n); got != 8*time.Second {
+		t.Errorf("at first %v", got)
+	}
+	s := b.get(n, false)
+	b.Done(b.now, s, InOrder)
+	b.now += 2 * time.Second
+	s = b.get(n, false)
+	b.Done(b.now, s, Crossed)
+	if got := b.limit(b.now, n); got != 1600*time.Millisecond {
+		t.Errorf("after a close at 2 s: %v", got)
+	}
+	s = b.get(n, false)
+	b.now += time.Second
+	b.Done(b.now, s, InOrder)
+	b.now += time.Second
+	if got := b.get(n, true); got == s {
+		t.Error("what must not repeat goes out on a connection that has stood for over half the limit")
+	} else if got := b.get(n, false); got != s {
+		t.Error("what may be repeated does not use it")
+	}
+	b.now += time.Minute
+	if got := b.limit(b.now, n); got < 6*time.Second {
+		t.Errorf("after a minute: %v", got)
+	}
+}
+
+// What must not repeat takes an old connection rather than none, but never a suspect one.
+func TestCarefulWithoutRoom(t *testing.T) {
+	for _, suspect := range []bool{false, true} {
+		b, n := newBench(t, func(s *Settings) { s.PerNode = 1 })
+		s := b.get(n, false)
+		b.Done(b.now, s, InOrder)
+		b.now += 5 * time.Second
+		if suspect {
+			n.suspect = b.now
+		}
+		if got := b.get(n, true); (got == s) == suspect {
+			t.Errorf("suspect %v: the kept connection is used: %v", suspect, got == s)
+		}
+	}
+}
+
+// After a burst of failures older connections carry what may be repeated until they have proven themselves, or close.
+func TestSuspects(t *testing.T) {
+	for _, closes := range []bool{false, true} {
+		b, n := newBench(t, func(s *Settings) { s.SuspectClose = closes })
+		old := b.get(n, false)
+		var broken []*Slot
+		for range 3 {
+			broken = append(broken, b.get(n, false))
+		}
+		b.Done(b.now, old, InOrder)
+		for _, s := range broken {
+			b.now += time.Millisecond
+			b.Done(b.now, s, Broken)
+		}
+		fresh := b.get(n, true)
+		if fresh == old {
+			t.Fatal("what must not repeat goes out on a suspect connection")
+		}
+		if closes {
+			if b.Counts().Closed[WhySuspect] != 1 {
+				t.Error("it was not closed")
+			}
+			continue
+		}
+		b.now += time.Millisecond
+		b.Done(b.now, fresh, InOrder)
+		if got := b.get(n, false); got != old {
+			t.Error("a suspect one is not tried first")
+		}
+		b.now += time.Millisecond
+		b.Done(b.now, old, InOrder)
+		if got := b.get(n, true); got != old {
+			t.Error("it has proven itself and is shunned")
+		}
+	}
+}
+
+// A server that says nothing holds its own places and handshakes, not what others need.
+func TestSilentServer(t *testing.T) {
+	b, silent := newBench(t, func(s *Settings) { s.Most, s.PerNode, s.Opening, s.OpeningPerNode = 8, 4, 4, 2 })
+	var opens []Action
+	for range 6 {
+		_, _, actions := b.Want(b.now, silent, false)
+		opens = append(opens, actions...)
+	}
+	if len(opens) != 2 {
+		t.Errorf("%d handshakes", len(opens))
+	}
+	other := b.node("b")
+	if b.get(other, false) == nil {
+		t.Error("another server gets nothing meanwhile")
+	}
+	refused := 0
+	for _, a := range b.OpenFailed(b.now, opens[0].Slot) {
+		if a.Kind == Refuse && a.Why == NoConnect {
+			refused++
+		}
+	}
+	if refused != 1 {
+		t.Errorf("%d were told of one failed handshake", refused)
+	}
+	if n := b.openingMost(silent); n != 1 {
+		t.Errorf("%d handshakes at once after a failure", n)
+	}
+}
+
+// When places run out they go round: a server with many gives one up to those who wait for one with few.
+func TestLastPlacesAreShared(t *testing.T) {
+	b, big := newBench(t, func(s *Settings) { s.Most, s.PerNode, s.Opening, s.OpeningPerNode = 4, 4, 4, 4 })
+	var used []*Slot
+	for range 4 {
+		used = append(used, b.get(big, false))
+	}
+	small := b.node("b")
+	_, w, _ := b.Want(b.now, small, false)
+	b.Want(b.now, big, false) // which has waited for less
+	var got *Action
+	for _, a := range b.Done(b.now, used[0], InOrder) {
+		if a.Kind == Open {
+			got = &a
+		}
+	}
+	if got == nil || got.Slot.Node != small || w.node != small {
+		t.Errorf("%+v", got)
+	}
+}
+
+// All agents together open no more ahead of need than the settings say, and less while the server is cold.
+func TestOpeningAheadIsBoundedForAll(t *testing.T) {
+	const agents, seconds = 200, 10
+	for cold, most := range map[time.Duration]int{0: 50 * seconds, 100 * time.Second: 50 * seconds / 4} {
+		opened := 0
+		for seed := range uint64(agents) {
+			set := DefaultSettings(40)
+			set.AheadRate, set.Agents, set.ColdFrom, set.ColdFor = 50, agents, 0.2, cold
+			table := NewTable(set, seed)
+			n := table.NewNode(time.Second, "a", "", time.Second)
+			table.SetReady(time.Second, n, true)
+			for now := time.Second; now < (1+seconds)*time.Second; now += 50 * time.Millisecond {
+				n.sends(now)
+				n.handshake = 0.1
+				for _, a := range append([]Action(nil), table.Sweep(now, nil)...) {
+					opened++
+					for _, a := range table.Opened(now, a.Slot) {
+						t.Errorf("%+v", a)
+					}
+					s, _, _ := table.Want(now, n, false)
+					table.Done(now, s, Over) // so that there is always need of another
+				}
+			}
+		}
+		if opened > most*5/4 || opened < most/4 {
+			t.Errorf("cold for %v: %d opened in %d s, where %d may be", cold, opened, seconds, most)
+		}
+	}
+}
+
+// Fewer places than are taken: the idle ones go at once, those in use as they come free.
+func TestFewerPlaces(t *testing.T) {
+	b, n := newBench(t, nil)
+	s := b.three(n)
+	used := []*Slot{b.get(n, false), b.get(n, false)}
+	set := b.set
+	set.Most, set.PerNode = 1, 1
+	b.Configure(b.now, set)
+	if c := b.Counts(); c.Open != 2 || c.Idle != 0 {
+		t.Errorf("%d idle of %d", c.Idle, c.Open)
+	}
+	for _, u := range used {
+		b.Done(b.now, u, InOrder)
+	}
+	if c := b.Counts(); c.Open != 1 || c.Idle != 1 || len(s) != 3 {
+		t.Errorf("%d idle of %d", c.Idle, c.Open)
+	}
+}
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -34,7 +34,8 @@
 	// Chunks that are not whole by then are passed on as they come.
 	flowAfter   = 100 * time.Millisecond
 	writeBuffer = 32 << 10
-	keptText    = 8 << 10 // room for a request's text that a connection keeps
+	lastWord    = 20 * time.Millisecond // what a server said before it stopped reading may still be on its way
+	keptText    = 8 << 10               // room for a request's text that a connection keeps
 )
 
 // state is what the pool keeps with a connection.
@@ -83,6 +84,7 @@
 	message *httpmsg.Message
 	out     core.Outcome
 	told    atomic.Bool // whoever sets it tells the outcome
+	cut     atomic.Bool // reading is over
 }
 
 // finish tells the outcome, unless that was told when the answer began to flow.
@@ -92,22 +94,14 @@
 	}
 }
 
-// run writes the request and reads the answer; keep says whether the connection is in order then.
-func (x *exchange) run(ctx context.Context) (keep bool) {
-	err := x.write()
-	x.out.Spent = x.message.Body.Spent()
-	if err != nil {
-		x.out.Result = logic.ConnectFailed // the server begins a request when its last byte has come
-		if x.message.Body.Broken() != nil {
-			x.out.Result = logic.NotSent
-		}
-		return false
-	}
-	x.Sent()
-	until := x.Clock.At(x.attempt.Until())
+// run writes the request and reads the answer; it says how that leaves the connection.
+func (x *exchange) run(ctx context.Context) pool.How {
+	x.state.left.N = maxHead // http.ReadResponse takes a head of any length
 	x.state.timed.latest, x.state.timed.limit = time.Time{}, func(latest time.Time) time.Time {
-		end := latest.Add(heldStall)
+		until, end := x.Clock.At(x.attempt.Until()), latest.Add(heldStall)
 		switch {
+		case x.cut.Load():
+			return time.Now()
 		case x.told.Load():
 			return latest.Add(flowStall)
 		case latest.IsZero() || end.After(until):
@@ -115,22 +109,67 @@
 		}
 		return end
 	}
-	resp, err := x.state.readHead()
-	if err != nil {
-		x.out.Result = broken(err)
-		return false
+	early, err := x.writeAll()
+	x.out.Spent = x.message.Body.Spent()
+	if err != nil && !early {
+		x.out.Result = logic.ConnectFailed // the server begins a request when its last byte has come
+		if x.message.Body.Broken() != nil {
+			x.out.Result = logic.NotSent
+			return pool.Broken
+		}
+		return x.broke(err)
+	}
+	if err == nil {
+		x.Sent()
+	}
+	resp, bad := x.state.readHead()
+	if bad != nil {
+		if x.out.Result = broken(bad); err != nil {
+			x.out.Result = logic.ConnectFailed
+		}
+		return x.broke(bad)
 	}
 	x.out.Report = x.readReport(resp.Header.Values("X-Server-Load"))
+	var how pool.How
 	if resp.StatusCode == http.StatusOK {
-		keep = x.serve(ctx, resp)
+		how = x.serve(ctx, resp)
 	} else {
-		keep = x.passOver(resp)
+		how = x.passOver(resp)
 	}
-	return keep && x.state.reader.Buffered() == 0
+	if early && err != nil { // not all of the request was written, which servers begin with its last byte
+		if resp.StatusCode != http.StatusOK {
+			x.out.Result = logic.Rejected
+		}
+		return pool.Broken
+	}
+	if how == pool.InOrder && x.state.reader.Buffered() > 0 {
+		return pool.Broken
+	}
+	return how
+}
+
+// broke says how an exchange without an answer leaves its connection. On a used one that ended before a byte came, the server
+// was closing it as the request went out.
+func (x *exchange) broke(err error) pool.How {
+	if !x.conn.Fresh() && x.state.timed.latest.IsZero() && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errSpoilt) {
+		return pool.Crossed
+	}
+	return pool.Broken
+}
+
+// left says how an answer leaves its connection.
+func left(resp *http.Response, err error) pool.How {
+	switch {
+	case err != nil:
+		return pool.Broken
+	case resp.Close:
+		return pool.Over
+	}
+	return pool.InOrder
 }
 
 // passOver takes an answer that serves nothing for what it says of the request.
-func (x *exchange) passOver(resp *http.Response) (keep bool) {
+func (x *exchange) passOver(resp *http.Response) pool.How {
 	x.out.Result = logic.Failed
 	if (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1" {
@@ -139,19 +178,21 @@
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, httpmsg.HeldBody))
 	if err != nil {
 		x.out.Result = logic.Reset
+	} else if n == httpmsg.HeldBody { // more of it is not worth waiting for
+		return pool.Over
 	}
-	return err == nil && n < httpmsg.HeldBody && !resp.Close
+	return left(resp, err)
 }
 
 // serve takes in the body of an answer. A short one is checked to its end before any of it is passed on; one that says it
 // is long flows at once, and one that does not say flows as soon as there is much of it, or it takes time. One with no
 // length ends where the server closes the connection: a spoilt one stays open and a server that dies resets it, so that
 // neither looks like an end.
-func (x *exchange) serve(ctx context.Context, resp *http.Response) (keep bool) {
+func (x *exchange) serve(ctx context.Context, resp *http.Response) pool.How {
 	length := resp.ContentLength
 	if length > httpmsg.MaxBody {
 		x.out.Result = logic.Reset
-		return false
+		return pool.Broken
 	}
 	want := int64(httpmsg.HeldBody)
 	if length >= 0 {
@@ -182,7 +223,7 @@
 		x.out.Result, x.out.Content = broken(fmt.Errorf("%w: %w", errSpoilt, err)), nil
 		x.attempt.Report(x.out)
 	}
-	return err == nil && !resp.Close
+	return left(resp, err)
 }
 
 // errSpoilt is an answer that can't be what a backend made for the request. The request may have run.
@@ -190,7 +231,6 @@
 
 // readHead reads an answer's head, or fails as soon as it can't become one: a spoilt answer may never end.
 func (s *state) readHead() (*http.Response, error) {
-	s.left.N = maxHead // http.ReadResponse takes a head of any length
 	if err := startsWell(s.reader); err != nil {
 		return nil, err
 	}
@@ -217,8 +257,39 @@
 	return nil
 }
 
+// writeAll writes the request. While a long body is on its way it watches for an answer that does not wait for the rest: early
+// says that one has begun to come.
+func (x *exchange) writeAll() (early bool, err error) {
+	if x.message.Body.Rest == nil {
+		return false, x.write(nil)
+	}
+	var written, answered atomic.Bool
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		if _, err := x.state.reader.Peek(1); err == nil && !written.Load() {
+			answered.Store(true)
+			x.message.Body.Rest.Stop()
+			x.conn.SetWriteDeadline(time.Now())
+		}
+	}()
+	err = x.write(&answered)
+	written.Store(true)
+	if err == nil {
+		x.conn.SetReadDeadline(x.Clock.At(x.attempt.Until())) // the watch waited for as long as a body may take
+	} else if !answered.Load() {
+		last := time.AfterFunc(lastWord, func() {
+			x.cut.Store(true)
+			x.conn.SetReadDeadline(time.Now())
+		})
+		defer last.Stop()
+	}
+	<-watched
+	return answered.Load() || err != nil && x.state.reader.Buffered() > 0, err
+}
+
 // write writes the request whole, or fails.
-func (x *exchange) write() error {
+func (x *exchange) write(answered *atomic.Bool) error {
 	a, m := x.attempt, x.message
 	left := min(a.Call.Timeout, max(0, a.Until()-x.Clock.Now()))
 	text := append(x.state.text[:0], m.Head...)
@@ -236,7 +307,7 @@
 		_, err := x.conn.Write(text)
 		return err
 	}
-	w := bufio.NewWriterSize(stallWriter{x.conn}, writeBuffer)
+	w := bufio.NewWriterSize(stallWriter{x.conn, answered}, writeBuffer)
 	w.Write(text) // an error stays until Flush
 	if err := copyBody(w, &m.Body); err != nil {
 		return err
@@ -268,13 +339,22 @@
 	return err
 }
 
-// stallWriter writes to a connection for as long as that makes progress.
-type stallWriter struct{ net.Conn }
+// errAnswered ends the writing of a request whose answer has come.
+var errAnswered = errors.New("the server has answered already")
+
+// stallWriter writes to a connection for as long as that makes progress and there is no answer.
+type stallWriter struct {
+	net.Conn
+	answered *atomic.Bool
+}
 
 func (w stallWriter) Write(p []byte) (int, error) {
 	if err := w.SetWriteDeadline(time.Now().Add(flowStall)); err != nil {
 		return 0, err
 	}
+	if w.answered.Load() { // asked after the deadline was set, which else might undo the one that ends this
+		return 0, errAnswered
+	}
 	return w.Conn.Write(p)
 }
 
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -34,7 +34,7 @@
 func (u *Upstream) Try(ctx context.Context, a *core.Attempt) {
 	node, _ := a.Target.(*pool.Node)
 	out := core.Outcome{Result: logic.NotSent, Report: logic.NoReport}
-	c, err := u.Pool.Get(ctx, node, u.Clock.At(a.Until()))
+	c, err := u.Pool.Get(ctx, node, a.Call.Careful, u.Clock.At(a.Until()))
 	switch {
 	case errors.Is(err, pool.ErrNotReady) || errors.Is(err, pool.ErrNoRoom) || errors.Is(err, pool.ErrLate):
 		a.Report(out) // the agent's own lack says nothing of the server
@@ -44,13 +44,12 @@
 		a.Report(out)
 		return
 	case !u.stillWanted(a, node):
-		u.Pool.Put(c, true)
+		u.Pool.Put(c, pool.Unused)
 		a.Report(out)
 		return
 	}
 	x := &exchange{Upstream: u, conn: c, state: c.State.(*state), attempt: a, message: a.Call.Message.(*httpmsg.Message), out: out}
-	keep := x.run(ctx)
-	u.Pool.Put(c, keep)
+	u.Pool.Put(c, x.run(ctx))
 	x.finish()
 }
 
