Idle agents sleep; connections learn from closes; early answers end long bodies for sure

Need: an agent with nothing to do woke 40 times a second for the module's tick. The pool knew of early closes only by requests lost, which quiet agents never collect enough of, and the model had no figures on the choices.

Change: while nothing is open the core sets no timer and the module makes up for missed ticks with the next event. Headers are read without making their names canonical again; read deadlines are set anew only when near.

--- a/cmd/ryeweir/agent.go
+++ b/cmd/ryeweir/agent.go
@@ -52,11 +52,11 @@
 	if err != nil {
 		return err
 	}
-	cfg, err := platform.Load(os.Getenv)
+	ops, err := operator.Load(operators)
 	if err != nil {
 		return err
 	}
-	ops, err := operator.Load(operators)
+	cfg, err := platform.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
--- a/cmd/ryeweir/lab.go
+++ b/cmd/ryeweir/lab.go
@@ -238,14 +238,19 @@
 	if err != nil {
 		return err
 	}
-	costs, err := lab.Compare(ctx, self, each)
+	costs, ratios, err := lab.Compare(ctx, self, each)
 	if err != nil {
 		return err
 	}
 	out := c.OutOrStdout()
-	fmt.Fprintf(out, "%-8s %-12s %10s %12s %9s %9s %9s\n", "through", "rate", "answers/s", "CPU us each", "p50 ms", "p99 ms", "p99.9 ms")
-	for _, x := range costs {
-		fmt.Fprintf(out, "%-8s %-12s %10.0f %12.0f %9.2f %9.2f %9.2f\n", x.Through, x.Rate, x.PerSecond, x.CPU, x.P50, x.P99, x.P999)
+	fmt.Fprintf(out, "%-8s %-12s %10s %24s %10s %9s %9s %9s\n", "through", "rate", "answers/s", "CPU us each", "memory MB", "p50 ms", "p99 ms", "p99.9 ms")
+	for i, x := range costs {
+		fmt.Fprintf(out, "%-8s %-12s %10.0f %8.1f (%5.1f to %5.1f) %10.1f %9.2f %9.2f %9.2f\n", x.Through, x.Rate, x.PerSecond, x.CPU, x.Low, x.High, x.MemoryMB,
+			x.P50, x.P99, x.P999)
+		if r := ratios[i/2]; i%2 == 1 {
+			fmt.Fprintf(out, "the agent had %d connections open, %.2f handshakes per 1,000 answers\n", costs[i-1].Open, costs[i-1].Opened)
+			fmt.Fprintf(out, "the agent takes %.3f (%.3f to %.3f) of the proxy's processor time, slice by slice\n", r.Mean, r.Low, r.High)
+		}
 	}
 	if file != "" {
 		return writeJSON(file, costs)
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -13,6 +13,7 @@
 
 	"ryeweir/internal/config/operator"
 	"ryeweir/internal/config/platform"
+	"ryeweir/internal/discovery"
 	"ryeweir/internal/testkit"
 )
 
@@ -126,3 +127,55 @@
 		t.Fatal("it goes on")
 	}
 }
+
+// SIGHUP reads the operators' file, too: what can change does at once, what can't is named, and a bad one changes nothing.
+func TestOperatorsReload(t *testing.T) {
+	t.Parallel()
+	file := filepath.Join(t.TempDir(), "operator.toml")
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("[connections]\nper_server = 3\n")
+	ops, err := operator.Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var log testkit.LockedBuffer
+	var applied []operator.File
+	hup := make(chan os.Signal)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	cfg, err := platform.Parse(testkit.ConfigText("127.0.0.1:1", "null"), testkit.NoEnv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := Reloads{Signals: hup, Load: func() (platform.Config, error) { return cfg, nil }, Operator: func() (operator.File, error) { return operator.Load(file) }}
+	d := discovery.New(discovery.Config{Addr: "127.0.0.1:1"})
+	go func() {
+		defer close(done)
+		r.follow(ctx, cfg, ops, d, func(f operator.File) error {
+			applied = append(applied, f)
+			if f.Connections.PerServer == 9 {
+				return errors.New("too many")
+			}
+			return nil
+		}, slog.New(slog.NewTextHandler(&log, nil)))
+	}()
+	for _, step := range []struct{ text, says string }{
+		{"[connections]\nper_server = 4\n", "operators' file reloaded"},
+		{"[connections]\nper_server = 4\nplaces = 50\n[drain]\nlongest = \"9s\"\n", `keys="[connections.places drain.longest]"`},
+		{"[connections]\nper_server = -4\n", "operator.toml:2: connections.per_server: must be from 0 to 65536"},
+		{"[connections]\nper_server = 9\n", "too many"},
+	} {
+		write(step.text)
+		hup <- os.Interrupt
+		testkit.Eventually(t, step.says, func() bool { return log.Count(step.says) > 0 })
+	}
+	stop()
+	<-done
+	if len(applied) != 3 || applied[0].Connections.PerServer != 4 || applied[1].Connections.Places != 50 {
+		t.Errorf("applied %+v", applied)
+	}
+}
--- a/internal/agent/scenes_test.go
+++ b/internal/agent/scenes_test.go
@@ -34,6 +34,7 @@
 	stop    []context.CancelFunc
 	ended   []chan error
 	calls   []referee.Call
+	ops     operator.File
 }
 
 // scene is a day with something to do beside it and what must have come of it.
@@ -43,6 +44,7 @@
 	service float64                  // the least
 	verify  func(*testing.T, *stage) // beyond the rules; may be nil
 	limits  func(*world.Limits)      // may be nil
+	ops     func(*operator.File)     // what operators changed; may be nil
 }
 
 func usualDay() world.DaySpec {
@@ -77,7 +79,10 @@
 			t.Fatal(err)
 		}
 		defer w.Close()
-		s := &stage{World: w, t: t, network: network}
+		s := &stage{World: w, t: t, network: network, ops: operator.Default()}
+		if sc.ops != nil {
+			sc.ops(&s.ops)
+		}
 		limits := world.DefaultLimits()
 		if sc.limits != nil {
 			sc.limits(&limits)
@@ -156,7 +161,7 @@
 		log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
 	go func() {
-		ended <- agent.Run(ctx, cfg, operator.Default(), agent.Reloads{}, agent.Sockets{Clients: l, Control: control, Dial: s.network.Dialer(name)}, log)
+		ended <- agent.Run(ctx, cfg, s.ops, agent.Reloads{}, agent.Sockets{Clients: l, Control: control, Dial: s.network.Dialer(name)}, log)
 	}()
 	if i == len(s.addrs) {
 		s.addrs, s.stop, s.ended = append(s.addrs, ""), append(s.stop, nil), append(s.ended, nil)
--- a/internal/config/operator/operator.go
+++ b/internal/config/operator/operator.go
@@ -39,6 +39,7 @@
 	Suspect           string          `toml:"suspect"`
 	AheadPerSecond    float64         `toml:"ahead_per_second"`
 	AheadMost         int             `toml:"ahead_most"`
+	AheadKeep         int             `toml:"ahead_keep"`
 	SocketBufferBytes int             `toml:"socket_buffer_bytes"`
 }
 
@@ -52,7 +53,7 @@
 	set := pool.DefaultSettings(1)
 	return File{Connections: Connections{Reuse: "newest", AgeJitter: 0.2, IdlePart: set.IdlePart, IdleLeast: config.Duration(set.IdleLeast),
 		IdleHeal: config.Duration(set.IdleHeal), SurePart: set.SurePart, SuspectAfter: set.SuspectFailures,
-		SuspectWithin: config.Duration(set.SuspectWithin), Suspect: "try", AheadMost: set.AheadMost}}
+		SuspectWithin: config.Duration(set.SuspectWithin), Suspect: "close", AheadMost: set.AheadMost}}
 }
 
 // Load reads and checks a file; an empty name gives the defaults.
@@ -95,7 +96,7 @@
 	c := &f.Connections
 	for key, n := range map[string]int{"places": c.Places, "per_server": c.PerServer, "handshakes": c.Handshakes,
 		"handshakes_per_server": c.HandshakesServer, "waiting": c.Waiting, "max_uses": c.MaxUses, "suspect_after": c.SuspectAfter,
-		"ahead_most": c.AheadMost} {
+		"ahead_most": c.AheadMost, "ahead_keep": c.AheadKeep} {
 		wrong(n < 0 || n > mostPlaces, "connections."+key, "must be from 0 to %d", mostPlaces)
 	}
 	for key, d := range map[string]config.Duration{"wait": c.Wait, "max_age": c.MaxAge} {
@@ -138,7 +139,7 @@
 	set.Order, set.MaxAge, set.AgeJitter, set.MaxUses = orders[c.Reuse], c.MaxAge.D(), c.AgeJitter, c.MaxUses
 	set.IdlePart, set.IdleLeast, set.IdleHeal, set.SurePart = c.IdlePart, c.IdleLeast.D(), c.IdleHeal.D(), c.SurePart
 	set.SuspectFailures, set.SuspectWithin, set.SuspectClose = c.SuspectAfter, c.SuspectWithin.D(), c.Suspect == "close"
-	set.AheadRate, set.AheadMost = c.AheadPerSecond, c.AheadMost
+	set.AheadRate, set.AheadMost, set.AheadKeep = c.AheadPerSecond, c.AheadMost, c.AheadKeep
 	return set
 }
 
@@ -168,7 +169,7 @@
 	fmt.Fprintf(w, "connections: places %s, per server %s, handshakes %s (per server %s), waiting %s\n", worked(c.Places), worked(c.PerServer),
 		worked(c.Handshakes), worked(c.HandshakesServer), worked(c.Waiting))
 	fmt.Fprintf(w, "used again: %s first, for %g of the servers' idle limit, %g of that for what must not repeat\n", c.Reuse, c.IdlePart, c.SurePart)
-	fmt.Fprintf(w, "suspect after %d broken exchanges within %v: %s\n", c.SuspectAfter, c.SuspectWithin.D(), c.Suspect)
+	fmt.Fprintf(w, "suspect after %d broken exchanges in a row within %v: %s\n", c.SuspectAfter, c.SuspectWithin.D(), c.Suspect)
 	if c.AheadPerSecond > 0 {
 		fmt.Fprintf(w, "opened ahead of need: %g a second on one server by all agents, %d idle ones each at the most\n", c.AheadPerSecond, c.AheadMost)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -135,7 +136,7 @@
 	defer wake.Stop()
 	set := time.Duration(0) // what wake is set for
 	for {
-		if next := c.timers[0].due; next != set {
+		if next := c.next(); next != set {
 			set = next
 			wake.Reset(next - c.clock.Now())
 		}
@@ -143,14 +144,35 @@
 		case <-ctx.Done():
 			return
 		case ev := <-c.events:
+			c.fire()
 			c.handle(ev)
 		case <-wake.C:
 			set = 0
+			c.fire()
 		}
-		c.fire()
 	}
 }
 
+// next is when the loop must wake without an event. While nothing is under way no timer of the module matters: what is due
+// then is done with the next event, and the processor sleeps.
+func (c *Core) next() time.Duration {
+	if !c.idle() {
+		return c.timers[0].due
+	}
+	for len(c.given) > 0 && len(c.given[0].answer) == 0 {
+		c.given = c.given[1:]
+	}
+	if len(c.given) > 0 {
+		return c.given[0].at + takenIn + watchEvery
+	}
+	return forever
+}
+
+// forever is far beyond the life of a process.
+const forever = time.Duration(math.MaxInt64 / 2)
+
+func (c *Core) idle() bool { return len(c.calls) == 0 && c.balancer.Idle() }
+
 func (c *Core) handle(ev event) {
 	switch e := ev.(type) {
 	case arrived:
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -160,7 +160,7 @@
 		s.begun, s.old = true, !bytes.HasSuffix(line, []byte("HTTP/1.1"))
 	case len(line) == 0:
 		s.headEnds()
-	default:
+	case bytes.IndexByte([]byte("CcTt"), line[0]) >= 0: // no other name matters
 		s.field(line)
 	}
 }
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"net/textproto"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,9 +14,9 @@
 	"ryeweir/logic"
 )
 
-// The headers of a request that the agent reads.
+// The headers of a request that the agent reads, in the form in which net/http keeps them.
 const (
-	requestIDHeader = "X-Request-ID"
+	requestIDHeader = "X-Request-Id"
 	keyHeader       = "Idempotency-Key"
 	tenantHeader    = "X-Tenant-Id"
 	routeKeyHeader  = "X-Route-Key"
@@ -27,13 +26,14 @@
 
 // passedOn are the headers that go on to a backend. All others concern the agent or nobody: what a client puts in them
 // must not change how a backend reads the message.
-var passedOn = canonical(requestIDHeader, keyHeader, tenantHeader, routeKeyHeader, retriedHeader, "X-Cost", "X-Attrs", "Content-Type")
+var passedOn = [...]string{requestIDHeader, keyHeader, tenantHeader, routeKeyHeader, retriedHeader, "X-Cost", "X-Attrs", "Content-Type"}
 
-func canonical(names ...string) []string {
-	for i, name := range names {
-		names[i] = textproto.CanonicalMIMEHeaderKey(name)
+// first is the first value of a header whose name has that form.
+func first(h http.Header, name string) string {
+	if values := h[name]; len(values) > 0 {
+		return values[0]
 	}
-	return names
+	return ""
 }
 
 // badRequest is a request that is answered with a plain 4xx and never forwarded.
@@ -68,18 +68,20 @@
 	if err := checkForm(r, class); err != nil {
 		return nil, nil, nil, err
 	}
-	timeout, err := parseTimeout(r.Header.Get(httpmsg.TimeoutHeader), class.Deadline)
+	timeout, err := parseTimeout(first(r.Header, httpmsg.TimeoutHeader), class.Deadline)
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	tenant := slices.Index(s.Site.Tenants, r.Header.Get(tenantHeader))
+	tenant := slices.Index(s.Site.Tenants, first(r.Header, tenantHeader))
 	if tenant < 0 && len(s.Site.Tenants) > 0 {
 		return nil, nil, nil, badRequest{http.StatusBadRequest, "unknown tenant"}
 	}
-	in := &httpmsg.Inflow{From: r.Body, Limit: http.NewResponseController(w).SetReadDeadline, Began: time.Now()}
-	body, release, err := httpmsg.Receive(r, in, s.Budget)
-	if err != nil {
-		return nil, nil, nil, brokenBody(err)
+	body, release := httpmsg.Body{}, func() {}
+	if r.ContentLength != 0 {
+		in := &httpmsg.Inflow{From: r.Body, Limit: http.NewResponseController(w).SetReadDeadline, Began: time.Now()}
+		if body, release, err = httpmsg.Receive(r, in, s.Budget); err != nil {
+			return nil, nil, nil, brokenBody(err)
+		}
 	}
 	if class.Effect == logic.Safe && body.Length != 0 {
 		release()
@@ -87,8 +89,8 @@
 	}
 	m = &httpmsg.Message{Head: appendHead(nil, r, &body), Body: body}
 	c = &core.Call{
-		ID: r.Header.Get(requestIDHeader), Class: index, Tenant: tenant, Key: r.Header.Get(routeKeyHeader),
-		Again:   r.Header.Get(retriedHeader) == "1",
+		ID: first(r.Header, requestIDHeader), Class: index, Tenant: tenant, Key: first(r.Header, routeKeyHeader),
+		Again:   first(r.Header, retriedHeader) == "1",
 		Timeout: timeout - min(deadlineMargin, timeout/4),
 		Partial: body.Rest != nil,
 		Careful: class.Effect != logic.Safe,
@@ -122,15 +124,15 @@
 	if want == http.MethodGet && r.ContentLength > 0 {
 		return badRequest{http.StatusBadRequest, "a GET has no body"}
 	}
-	for _, name := range []string{requestIDHeader, keyHeader, httpmsg.TimeoutHeader} {
-		if len(r.Header.Values(name)) > 1 {
+	for _, name := range [...]string{requestIDHeader, keyHeader, httpmsg.TimeoutHeader} {
+		if len(r.Header[name]) > 1 {
 			return badRequest{http.StatusBadRequest, name + " is there more than once"}
 		}
 	}
-	if id := r.Header.Get(requestIDHeader); id == "" || len(id) > longestID {
+	if id := first(r.Header, requestIDHeader); id == "" || len(id) > longestID {
 		return badRequest{http.StatusBadRequest, requestIDHeader + " is missing or too long"}
 	}
-	if class.Effect == logic.Keyed && r.Header.Get(keyHeader) == "" {
+	if class.Effect == logic.Keyed && first(r.Header, keyHeader) == "" {
 		// The backends could not tell a repeat, so it must not be sent as one of this class.
 		return badRequest{http.StatusBadRequest, keyHeader + " is missing"}
 	}
--- a/internal/front/http/serve.go
+++ b/internal/front/http/serve.go
@@ -81,10 +81,15 @@
 
 // sweep closes clients' idle connections in a drain, an operator's or the last one.
 func (s *Server) sweep(ctx context.Context, clients *connlimit.Listener) {
-	for ctx.Err() == nil {
-		sleep(ctx, drainSweep)
-		if s.phase.leaving() {
+	for {
+		select {
+		case <-s.phase.left:
+		case <-ctx.Done():
+			return
+		}
+		for s.phase.leaving() && ctx.Err() == nil {
 			clients.CloseIdle(drainIdle)
+			sleep(ctx, drainSweep)
 		}
 	}
 }
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -61,7 +61,7 @@
 
 // New returns a server that serves nobody yet.
 func New(cfg Config) *Server {
-	s := &Server{Config: cfg, mostHeld: int64(HeldPart * float64(cfg.Most)), crowded: func() bool { return false }}
+	s := &Server{Config: cfg, phase: newPhase(), mostHeld: int64(HeldPart * float64(cfg.Most)), crowded: func() bool { return false }}
 	if cfg.Site.MostHeld > 0 {
 		s.mostHeld = min(s.mostHeld, int64(cfg.Site.MostHeld))
 	}
@@ -120,7 +120,6 @@
 		c.Deadline = took() + c.Timeout
 	} else {
 		rest.Ended = func() { s.Core.Received(c, took()) }
-		rest.Interrupt = func() { http.NewResponseController(w).SetReadDeadline(time.Now()) }
 	}
 	connlimit.Hold(r.Context())
 	defer s.held.Add(-1)
@@ -238,7 +237,7 @@
 	s.Metrics.Answered(c.Class, result)
 	if rest != nil {
 		control.Flush()
-		io.Copy(io.Discard, rest.From)
+		rest.Drain()
 	}
 }
 
@@ -278,7 +277,7 @@
 	s.Metrics.Answered(c.Class, metrics.Completed)
 	if early {
 		out.control.Flush()
-		io.Copy(io.Discard, rest.From) // for a client that sends all before it reads
+		rest.Drain()
 	}
 }
 
--- a/internal/front/http/server_test.go
+++ b/internal/front/http/server_test.go
@@ -118,7 +118,7 @@
 
 // The end is final: no operator brings back a process that is about to go.
 func TestPhases(t *testing.T) {
-	var p phase
+	p := newPhase()
 	for _, to := range []int32{draining, draining, serving, draining} {
 		if err := p.move(to); err != nil || p.leaving() != (to == draining) {
 			t.Errorf("to %d: %v", to, err)
--- a/internal/httpmsg/body.go
+++ b/internal/httpmsg/body.go
@@ -25,7 +25,8 @@
 	Limit func(time.Time) error // sets the time by which something must come
 	Began time.Time             // when its head had come
 
-	n int64
+	n           int64
+	interrupted atomic.Bool
 }
 
 func (in *Inflow) Read(p []byte) (int, error) {
@@ -37,6 +38,9 @@
 	if err := in.Limit(slowest); err != nil {
 		return 0, fmt.Errorf("setting the read deadline: %w", err)
 	}
+	if in.interrupted.Load() { // asked after the deadline was set, which else would undo the one that ends this
+		return 0, errRestClosed
+	}
 	n, err := in.From.Read(p)
 	if in.n += int64(n); in.n > MaxBody {
 		return 0, ErrTooLong
@@ -58,10 +62,8 @@
 
 // Rest is the part of a body that is not held. It can be read once.
 type Rest struct {
-	From  io.Reader
+	From  *Inflow
 	Ended func() // called when all has been read
-	// Interrupt ends a read of From that waits.
-	Interrupt func()
 
 	stopped atomic.Bool // the server has answered before it had all
 	mu      sync.Mutex
@@ -105,9 +107,16 @@
 // Stop ends the reading, also a read that waits: the server wants no more.
 func (r *Rest) Stop() {
 	r.stopped.Store(true)
-	if r.Interrupt != nil {
-		r.Interrupt()
-	}
+	r.From.interrupted.Store(true)
+	r.From.Limit(time.Now()) // fails only where there is no connection any more
+}
+
+// Drain passes over what is left, for as long as the client sends it: one that sends all before it reads would not find its
+// answer on a connection that was closed under it.
+func (r *Rest) Drain() {
+	r.Close()
+	r.From.interrupted.Store(false)
+	io.Copy(io.Discard, r.From)
 }
 
 // Stopped reports whether Stop was called.
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -34,6 +35,11 @@
 	Rate      string  `json:"rate"`
 	PerSecond float64 `json:"answers_per_second"`
 	CPU       float64 `json:"cpu_us_per_answer"`
+	Low       float64 `json:"cpu_low"` // of its 95% interval over slices
+	High      float64 `json:"cpu_high"`
+	MemoryMB  float64 `json:"memory_mb"`               // resident, at the end
+	Open      int     `json:"connections"`             // of the agent to the stand-ins, at the end
+	Opened    float64 `json:"handshakes_per_thousand"` // answers
 	P50       float64 `json:"p50_ms"`
 	P99       float64 `json:"p99_ms"`
 	P999      float64 `json:"p99_9_ms"`
@@ -41,9 +47,9 @@
 
 const (
 	compareConns = 32
-	compareRate  = 300
 	compareNodes = 4
 	warmUp       = time.Second
+	slice        = time.Second // both are loaded in turn for so long, so that what else the machine does meets both
 )
 
 // PlainProxy is Go's reverse proxy before some backends, in turn, until the context ends.
@@ -88,12 +94,15 @@
 	}
 }
 
-// Compare measures the agent beside a plain proxy before the same instant stand-ins, each with one core of its own to run
-// on, first at a steady rate and then at full speed.
-func Compare(ctx context.Context, self string, each time.Duration) ([]Cost, error) {
+// compareRates are the rates at which both are measured, in answers a second; 0 is full speed.
+func compareRates() []int { return []int{300, 1200, 0} }
+
+// Compare measures the agent beside a plain proxy before the same instant stand-ins, each with one core of its own to run on,
+// in slices that take turns. Per rate it returns the two, and the interval of the agent's processor time over the proxy's.
+func Compare(ctx context.Context, self string, each time.Duration) ([]Cost, []Interval, error) {
 	dir, err := os.MkdirTemp("", "ryeweir-compare-")
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer os.RemoveAll(dir)
 	done := make(chan struct{})
@@ -106,7 +115,7 @@
 	for i := range compareNodes {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		defer l.Close()
 		nodes = append(nodes, l.Addr().String())
@@ -123,7 +132,7 @@
 	}
 	dl, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	disco.Serve(dl, "agent-0")
 
@@ -132,101 +141,208 @@
 	spec.Length = config.Duration(time.Second)
 	day, err := spec.Draw(1)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	var out []Cost
-	for _, through := range []string{"agent", "proxy", "agent", "proxy"} {
+	var both [2]*subject
+	for i, through := range []string{"agent", "proxy"} {
 		listen, err := FreePort()
 		if err != nil {
-			return out, err
+			return nil, nil, err
 		}
+		control := ""
 		cmd := exec.Command(self, "proxy", "--listen", listen, "--target", strings.Join(nodes, ","))
 		if through == "agent" {
-			text, err := day.AgentConfig(0, listen, "", dl.Addr().String(), world.DefaultLimits(), nil)
+			if control, err = FreePort(); err != nil {
+				return nil, nil, err
+			}
+			text, err := day.AgentConfig(0, listen, control, dl.Addr().String(), world.DefaultLimits(), nil)
 			if err != nil {
-				return out, err
+				return nil, nil, err
 			}
 			file := filepath.Join(dir, "agent.json")
 			if err := os.WriteFile(file, text, 0o600); err != nil {
-				return out, err
+				return nil, nil, err
 			}
 			cmd = exec.Command(self, "agent")
 			cmd.Env = append(os.Environ(), "PROXY_CONFIG="+file)
 		}
-		rate := compareRate
-		if len(out) >= 2 {
-			rate = 0
-		}
-		c, err := costOf(ctx, cmd, listen, rate, each)
-		c.Through = through
+		s, err := startSubject(ctx, through, cmd, listen)
 		if err != nil {
-			return out, fmt.Errorf("%s: %w", through, err)
+			return nil, nil, err
+		}
+		defer s.stop()
+		s.control = control
+		both[i] = s
+	}
+	var costs []Cost
+	var ratios []Interval
+	for _, rate := range compareRates() {
+		rounds := max(2, int(each/slice))
+		for _, s := range both {
+			s.begin(ctx, rate)
+		}
+		quotients := make([]float64, rounds)
+		for n := range rounds {
+			var cpu [2]float64
+			for k := range both {
+				i := (k + n) % 2
+				c, err := both[i].slice(ctx, rate)
+				if err != nil {
+					return costs, ratios, fmt.Errorf("%s: %w", both[i].through, err)
+				}
+				cpu[i] = c
+			}
+			quotients[n] = cpu[0] / cpu[1]
+		}
+		for _, s := range both {
+			c, err := s.cost(rate)
+			if err != nil {
+				return costs, ratios, err
+			}
+			costs = append(costs, c)
 		}
-		out = append(out, c)
+		ratios = append(ratios, bootstrap(quotients))
 	}
-	return out, nil
+	return costs, ratios, nil
+}
+
+// subject is a process that is measured.
+type subject struct {
+	through   string
+	cmd       *exec.Cmd
+	ended     chan error
+	log       strings.Builder
+	client    *callers.Client
+	number    atomic.Uint64
+	control   string    // the operators' address; empty without one
+	opened    int64     // handshakes before what is measured
+	cpu       []float64 // microseconds an answer, a slice each
+	latencies []time.Duration
+	took      time.Duration
 }
 
-// costOf measures what stands at an address; rate 0 is as fast as it goes.
-func costOf(ctx context.Context, cmd *exec.Cmd, addr string, rate int, each time.Duration) (c Cost, err error) {
+// startSubject starts a process and waits until it serves.
+func startSubject(ctx context.Context, through string, cmd *exec.Cmd, addr string) (*subject, error) {
+	s := &subject{through: through, cmd: cmd, ended: make(chan error, 1), client: &callers.Client{Addr: addr, Dial: (&world.Loopback{}).Dialer("")}}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	var log strings.Builder
-	cmd.Stderr = &log
+	cmd.Stderr = &s.log
 	if err := cmd.Start(); err != nil {
-		return c, err
-	}
-	ended := make(chan error, 1)
-	go func() { ended <- cmd.Wait() }()
-	defer func() {
-		cmd.Process.Signal(syscall.SIGTERM)
-		select {
-		case <-ended:
-		case <-time.After(stopIn):
-			cmd.Process.Kill()
-			<-ended
-		}
-		if err != nil {
-			err = fmt.Errorf("%w\n%s", err, log.String())
-		}
-	}()
-	client := &callers.Client{Addr: addr, Dial: (&world.Loopback{}).Dialer("")}
-	defer client.Close()
-	var number atomic.Uint64
-	send := func(ctx context.Context) callers.Answer {
-		ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		defer cancel()
-		id := fmt.Sprintf("%016x", number.Add(1))
-		return client.Send(ctx, callers.Message{ID: id, Class: "price-basket", Tenant: "kottu-run", Key: "k:" + id[12:], Timeout: 2 * time.Second,
-			Hint: 20 * time.Millisecond}, func() bool { return true })
+		return nil, err
 	}
-	for end := time.Now().Add(readyIn); send(ctx).End != referee.Served; {
+	go func() { s.ended <- cmd.Wait() }()
+	for end := time.Now().Add(readyIn); s.send(ctx).End != referee.Served; {
 		if time.Now().After(end) || ctx.Err() != nil {
-			return c, errors.New("it serves nothing")
+			s.stop()
+			return nil, fmt.Errorf("%s serves nothing\n%s", through, s.log.String())
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	pace(ctx, rate, warmUp, send)
-	before, err := processorTime(cmd.Process.Pid)
+	return s, nil
+}
+
+func (s *subject) stop() {
+	s.client.Close()
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-s.ended:
+	case <-time.After(stopIn):
+		s.cmd.Process.Kill()
+		<-s.ended
+	}
+}
+
+func (s *subject) send(ctx context.Context) callers.Answer {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	id := fmt.Sprintf("%016x", s.number.Add(1))
+	return s.client.Send(ctx, callers.Message{ID: id, Class: "price-basket", Tenant: "kottu-run", Key: "k:" + id[12:], Timeout: 2 * time.Second,
+		Hint: 20 * time.Millisecond}, func() bool { return true })
+}
+
+// begin forgets what was measured and warms up.
+func (s *subject) begin(ctx context.Context, rate int) {
+	s.cpu, s.latencies, s.took = nil, nil, 0
+	pace(ctx, rate, warmUp, s.send)
+	s.opened, _, _ = s.connections() // 0 without: the end says what is wrong
+}
+
+// connections are how many an agent has opened so far, and how many are open.
+func (s *subject) connections() (opened int64, open int, err error) {
+	if s.control == "" {
+		return 0, 0, nil
+	}
+	resp, err := http.Get("http://" + s.control + "/v1/metrics")
 	if err != nil {
-		return c, err
+		return 0, 0, fmt.Errorf("figures: %w", err)
+	}
+	defer resp.Body.Close()
+	var all struct {
+		Connections struct {
+			Opened int64 `json:"opened"`
+			Open   int   `json:"open"`
+		} `json:"connections"`
 	}
-	latencies, failed, took := pace(ctx, rate, each, send)
-	after, err := processorTime(cmd.Process.Pid)
+	if err := json.NewDecoder(resp.Body).Decode(&all); err != nil {
+		return 0, 0, fmt.Errorf("figures: %w", err)
+	}
+	return all.Connections.Opened, all.Connections.Open, nil
+}
+
+// slice loads it for a while and returns the microseconds of processor time that an answer took.
+func (s *subject) slice(ctx context.Context, rate int) (float64, error) {
+	before, err := processorTime(s.cmd.Process.Pid)
 	if err != nil {
-		return c, err
+		return 0, err
+	}
+	latencies, failed, took := pace(ctx, rate, slice, s.send)
+	after, err := processorTime(s.cmd.Process.Pid)
+	if err != nil {
+		return 0, err
 	}
 	if len(latencies) == 0 || failed > len(latencies)/100 {
-		return c, fmt.Errorf("%d answers and %d failures", len(latencies), failed)
+		return 0, fmt.Errorf("%d answers and %d failures\n%s", len(latencies), failed, s.log.String())
 	}
-	p := percentiles(latencies)
-	c = Cost{Rate: "full speed", PerSecond: float64(len(latencies)) / took.Seconds(), CPU: float64((after - before).Microseconds()) / float64(len(latencies)),
-		P50: p.P50, P99: p.P99, P999: p.P999}
+	cpu := float64((after - before).Microseconds()) / float64(len(latencies))
+	s.cpu, s.latencies, s.took = append(s.cpu, cpu), append(s.latencies, latencies...), s.took+took
+	return cpu, nil
+}
+
+// cost sums up the slices.
+func (s *subject) cost(rate int) (Cost, error) {
+	memory, err := residentMB(s.cmd.Process.Pid)
+	if err != nil {
+		return Cost{}, err
+	}
+	opened, open, err := s.connections()
+	if err != nil {
+		return Cost{}, err
+	}
+	p, cpu := percentiles(s.latencies), bootstrap(s.cpu)
+	c := Cost{Through: s.through, Rate: "full speed", PerSecond: float64(len(s.latencies)) / s.took.Seconds(), CPU: cpu.Mean, Low: cpu.Low, High: cpu.High,
+		MemoryMB: memory, Open: open, Opened: 1000 * float64(opened-s.opened) / float64(len(s.latencies)), P50: p.P50, P99: p.P99, P999: p.P999}
 	if rate > 0 {
 		c.Rate = fmt.Sprintf("%d/s", rate)
 	}
 	return c, nil
 }
 
+// residentMB is what a process holds of memory (the second figure of statm, in pages: proc(5)).
+func residentMB(pid int) (float64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, fmt.Errorf("memory: %w", err)
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0, fmt.Errorf("memory: statm of process %d has another form", pid)
+	}
+	pages, err := strconv.ParseFloat(fields[1], 64)
+	if err != nil {
+		return 0, fmt.Errorf("memory: %w", err)
+	}
+	return pages * float64(os.Getpagesize()) / (1 << 20), nil
+}
+
 // pace sends at a steady rate, open loop, or over so many connections as fast as answers come.
 func pace(ctx context.Context, rate int, each time.Duration, send func(context.Context) callers.Answer) (latencies []time.Duration, failed int, took time.Duration) {
 	var mu sync.Mutex
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -32,7 +32,8 @@
 	Work      config.Duration `toml:"work"`      // mean processor time of a request
 	Handshake config.Duration `toml:"handshake"` // and of a handshake
 	RTT       config.Duration `toml:"rtt"`
-	Idle      config.Duration `toml:"idle"`         // servers close what is idle for longer
+	Idle      config.Duration `toml:"idle"`         // servers close what is idle for longer, as the settings say
+	Closes    config.Duration `toml:"closes"`       // and as they do; 0s: the same
 	Random    float64         `toml:"random_close"` // closes a second of an idle connection, at random
 	Start     config.Duration `toml:"start"`        // the first server starts anew then; 0s: never
 	ColdFrom  float64         `toml:"cold_from"`
@@ -338,9 +339,10 @@
 // send picks a server by its warmth, as the module's draw does, and asks for a connection.
 func (f *fleet) send(a *fleetAgent, c *fleetCall) {
 	c.server = f.rng.IntN(len(a.nodes))
-	for range 8 {
+	for range 50 {
 		s := a.servers[c.server]
-		if s.started == 0 || f.rng.Float64() < f.warmth(f.now-s.started) {
+		ejected := f.now >= s.cutFrom+f.spec.Patience.D() && f.now < s.cutTo // the module notices when nothing answers
+		if !ejected && (s.started == 0 || f.rng.Float64() < f.warmth(f.now-s.started)) {
 			break
 		}
 		c.server = f.rng.IntN(len(a.nodes))
@@ -428,6 +430,9 @@
 // rest says when the server will close a connection that stands idle from now on.
 func (f *fleet) rest(c *fleetConn) {
 	c.closed = f.now + f.spec.Idle.D()
+	if f.spec.Closes > 0 {
+		c.closed = f.now + f.spec.Closes.D()
+	}
 	if f.spec.Random > 0 {
 		c.closed = min(c.closed, f.now+time.Duration(f.rng.ExpFloat64()/f.spec.Random*float64(time.Second)))
 	}
--- a/internal/pool/ahead.go
+++ b/internal/pool/ahead.go
@@ -23,9 +23,9 @@
 	rate := n.rate * math.Exp(-float64(now-n.rated)/float64(rateOver))
 	mean := rate * n.handshake
 	if mean < aheadLeast {
-		return 0
+		return t.set.AheadKeep
 	}
-	return min(t.set.AheadMost, int(math.Ceil(mean+2*math.Sqrt(mean))))
+	return max(t.set.AheadKeep, min(t.set.AheadMost, int(math.Ceil(mean+2*math.Sqrt(mean)))))
 }
 
 // openAhead opens at most one connection ahead of need. What all agents open so on one server is bounded: each has its part
--- a/internal/pool/settings.go
+++ b/internal/pool/settings.go
@@ -36,12 +36,13 @@
 	IdleHeal  time.Duration // in which it doubles again after it fell
 	SurePart  float64       // of the limit: idle for longer, a connection carries what must not repeat only where no fresh one is to be had
 
-	SuspectFailures int           // broken exchanges with a server after which its older connections are suspect; 0: never
+	SuspectFailures int           // broken exchanges in a row with a server after which its older connections are suspect; 0: never
 	SuspectWithin   time.Duration // if they come within this time
 	SuspectClose    bool          // close suspect ones, in place of trying them first with what may be repeated
 
 	AheadRate float64       // connections that all agents together open ahead of need on one server, a second; 0: none
 	AheadMost int           // idle ones that one agent has for that on one server
+	AheadKeep int           // and at least, whatever comes
 	Agents    int           // that share the servers
 	ColdFrom  float64       // a server that starts takes this share of what it takes when warm
 	ColdFor   time.Duration // and all of it after this time
@@ -53,7 +54,7 @@
 		Most: most, PerNode: max(1, most/4), Opening: max(4, most/4), OpeningPerNode: max(2, most/8),
 		Waiting: max(1, most), Wait: time.Second,
 		IdlePart: 0.8, Idle: 10 * time.Second, IdleLeast: 250 * time.Millisecond, IdleHeal: 30 * time.Second, SurePart: 0.5,
-		SuspectFailures: 3, SuspectWithin: time.Second,
+		SuspectFailures: 2, SuspectWithin: 10 * time.Second, SuspectClose: true,
 		AheadMost: 2, Agents: 1,
 	}
 }
@@ -67,7 +68,7 @@
 		return errors.New("the times to wait, to stand idle, to heal and to count failures must be above 0")
 	case s.IdlePart <= 0 || s.IdlePart > 1 || s.SurePart < 0 || s.SurePart > 1 || s.AgeJitter < 0 || s.AgeJitter > 1:
 		return errors.New("a part must be from 0 to 1")
-	case s.MaxAge < 0 || s.MaxUses < 0 || s.SuspectFailures < 0 || s.AheadRate < 0 || s.AheadMost < 0:
+	case s.MaxAge < 0 || s.MaxUses < 0 || s.SuspectFailures < 0 || s.AheadRate < 0 || s.AheadMost < 0 || s.AheadKeep < 0:
 		return errors.New("no limit may be below 0")
 	case s.Agents < 1 || s.ColdFor > 0 && (s.ColdFrom <= 0 || s.ColdFrom > 1):
 		return errors.New("there must be an agent, and a cold share above 0 and at most 1")
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -40,8 +40,11 @@
 
 	idleLimit time.Duration // as learnt then
 	learnt    time.Duration
+	survived  time.Duration // how long a connection stood idle and was open still, at survivor
+	survivor  time.Duration
+	limited   int             // closes that speak for a limit of the server's less those that speak against it
 	suspect   time.Duration   // connections not proven since are suspect; 0: none
-	failures  []time.Duration // broken exchanges lately
+	failures  []time.Duration // broken exchanges since the latest answer
 	dialFails int             // in a row
 
 	rate      float64 // sends a second, smoothed
@@ -233,6 +236,7 @@
 func (t *Table) Stale(now time.Duration, s *Slot) []Action {
 	t.begin()
 	s.uses--
+	t.learn(now, s.Node, s.stood)
 	t.close(s, WhyStale)
 	t.fill(now)
 	return t.actions
@@ -287,6 +291,8 @@
 	switch how {
 	case InOrder:
 		s.proven = now
+		n.failures = n.failures[:0]
+		n.outlived(now, s.stood, t.set.IdleHeal)
 		t.free(now, s)
 	case Unused:
 		t.free(now, s)
@@ -309,11 +315,13 @@
 	t.begin()
 	for _, s := range stale {
 		if s.takeable {
+			t.learn(now, s.Node, now-s.came)
 			t.close(s, WhyStale)
 		}
 	}
 	for _, n := range slices.Clone(t.nodes) {
 		for _, s := range slices.Clone(n.idle) {
+			n.outlived(now, now-s.came, t.set.IdleHeal)
 			if why, ends := t.expired(now, s); ends {
 				t.close(s, why)
 			}
@@ -584,23 +592,52 @@
 	if n.idleLimit >= full {
 		return full
 	}
-	return min(full, time.Duration(float64(n.idleLimit)*math.Exp2(float64(now-n.learnt)/float64(t.set.IdleHeal))))
+	// Compared before it is a time: after some minutes it would be one that no time can hold.
+	healed := float64(n.idleLimit) * math.Exp2(float64(now-n.learnt)/float64(t.set.IdleHeal))
+	if healed >= float64(full) {
+		return full
+	}
+	return time.Duration(healed)
 }
 
-// sure is how long it may have stood for what must not repeat.
+// sure is how long it may have stood for what must not repeat. While nothing speaks against the limit of the settings, that
+// is as long as for anything else.
 func (t *Table) sure(now time.Duration, n *Node) time.Duration {
-	return time.Duration(t.set.SurePart * float64(t.limit(now, n)))
+	limit := t.limit(now, n)
+	if limit == t.idleFull() {
+		return limit
+	}
+	return time.Duration(t.set.SurePart * float64(limit))
+}
+
+// outlived takes in that a connection stood idle for so long and was open still.
+func (n *Node) outlived(now, stood, keep time.Duration) {
+	if stood >= n.survived || now-n.survivor > keep {
+		n.survived, n.survivor = stood, now
+	}
 }
 
-// learn takes in that a server closed a connection that had stood idle for so long just as a request went out on it.
+// mostEvidence bounds what is remembered of a server's closes, so that one that changes its ways is noticed.
+const mostEvidence = 8
+
+// learn takes in that a server closed a connection that had stood idle for so long at the most: it was found closed, or a
+// request crossed the close. Where another has outlived that, the server has no such limit: it closed for a reason of its own.
 func (t *Table) learn(now time.Duration, n *Node, stood time.Duration) {
+	if n.survived > stood && now-n.survivor <= t.set.IdleHeal {
+		n.limited = max(n.limited-1, -mostEvidence)
+		return
+	}
+	if n.limited = min(n.limited+1, mostEvidence); n.limited <= 0 {
+		return
+	}
 	lower := max(t.set.IdleLeast, time.Duration(t.set.IdlePart*float64(stood)))
 	if lower < t.limit(now, n) {
 		n.idleLimit, n.learnt = lower, now
 	}
 }
 
-// failed counts a broken exchange.
+// failed counts a broken exchange. An answer between two shows a server that is slow or spoils answers: its connections are
+// well, and closing them would give it more to do.
 func (t *Table) failed(now time.Duration, n *Node) {
 	if t.set.SuspectFailures == 0 {
 		return
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -320,6 +320,12 @@
 	if got := b.limit(b.now, n); got < 6*time.Second {
 		t.Errorf("after a minute: %v", got)
 	}
+	for range 40 { // of hours
+		b.now += time.Hour
+		if got := b.limit(b.now, n); got != 8*time.Second {
+			t.Fatalf("after hours: %v", got)
+		}
+	}
 }
 
 // What must not repeat takes an old connection rather than none, but never a suspect one.
@@ -341,13 +347,14 @@
 // After a burst of failures older connections carry what may be repeated until they have proven themselves, or close.
 func TestSuspects(t *testing.T) {
 	for _, closes := range []bool{false, true} {
-		b, n := newBench(t, func(s *Settings) { s.SuspectClose = closes })
+		b, n := newBench(t, func(s *Settings) { s.SuspectClose, s.SuspectFailures = closes, 3 })
 		old := b.get(n, false)
 		var broken []*Slot
 		for range 3 {
 			broken = append(broken, b.get(n, false))
 		}
 		b.Done(b.now, old, InOrder)
+		b.Done(b.now, b.get(n, false), InOrder) // an answer between failures starts the count anew
 		for _, s := range broken {
 			b.now += time.Millisecond
 			b.Done(b.now, s, Broken)
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -58,18 +58,28 @@
 	conn   net.Conn
 	latest time.Time                        // when something last came; zero before
 	limit  func(latest time.Time) time.Time // the time by which something must come
+	set    time.Time                        // the connection's deadline
 }
 
+// nearDeadline is how near a deadline must be to be set anew: one that comes too early costs another turn, and each change of a
+// deadline a little.
+const nearDeadline = 100 * time.Millisecond
+
 func (r *timedReader) Read(p []byte) (int, error) {
 	for {
-		if err := r.conn.SetReadDeadline(r.limit(r.latest)); err != nil {
-			return 0, err
+		if limit := r.limit(r.latest); r.set.After(limit) || time.Until(r.set) < nearDeadline {
+			if err := r.conn.SetReadDeadline(limit); err != nil {
+				return 0, err
+			}
+			r.set = limit
 		}
 		n, err := r.conn.Read(p)
 		if n > 0 {
 			r.latest = time.Now()
-		} else if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(r.limit(r.latest)) {
-			continue
+		} else if errors.Is(err, os.ErrDeadlineExceeded) {
+			if r.set = (time.Time{}); time.Now().Before(r.limit(r.latest)) {
+				continue
+			}
 		}
 		return n, err
 	}
--- a/internal/upstream/http/exchange_test.go
+++ b/internal/upstream/http/exchange_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -421,3 +424,45 @@
 		t.Errorf("%v with %d requests, %d connections left", out.Result, b.Requests(), f.open())
 	}
 }
+
+// With RYEWEIR_LONG set: what a kept connection takes of the heap, after a request on each.
+func TestMemoryOfConnections(t *testing.T) {
+	if os.Getenv("RYEWEIR_LONG") == "" {
+		t.Skip("a measurement")
+	}
+	const n = 400
+	l := testkit.Listen(t)
+	var came sync.WaitGroup
+	came.Add(n)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				var buf [1024]byte
+				c.Read(buf[:])
+				came.Done()
+				came.Wait() // so that each request has a connection of its own
+				io.WriteString(c, testkit.ServedText)
+			}()
+		}
+	}()
+	f := newFixture(t, l.Addr().String(), 4*n)
+	heap := func() uint64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	var all sync.WaitGroup
+	for range n {
+		all.Go(func() { f.make(f.attempt(testkit.Patience)).text(t) })
+	}
+	all.Wait()
+	t.Logf("%d idle connections, %d bytes of heap each with the stand-in's end", f.idle(), (heap()-before)/n)
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -76,6 +76,7 @@
 // Start returns what a new Balancer wants done before its first event.
 func (b *Balancer) Start(now time.Duration) []Action {
 	b.now, b.actions = now, b.actions[:0]
+	b.ticked = now
 	b.timer(tickToken, b.horizon/ticks)
 	if b.set.Subscribe {
 		b.act(Action{Kind: Subscribe})
@@ -87,8 +88,10 @@
 	switch token {
 	case tickToken:
 		b.timer(tickToken, b.horizon/ticks)
-		b.checkHealth()
-		b.setShed()
+		passed := max(1, math.Round(float64(b.now-b.ticked)/float64(b.horizon/ticks)))
+		b.ticked = b.now
+		b.checkHealth(passed)
+		b.setShed(passed)
 		b.copyLate()
 	case subscribeToken:
 		b.asking = false
@@ -339,6 +342,10 @@
 	return n
 }
 
+// Idle reports whether nothing is under way: no request is open or in flight, and no call to the list waits.
+// Then timers may fire late, with the next event.
+func (b *Balancer) Idle() bool { return len(b.requests) == 0 && !b.asking }
+
 // judge learns from an outcome how the server does. Errors and rejections come fast and make a server look
 // idle, so they lower its weight; only answers count as rate.
 func (b *Balancer) judge(a *attempt, o Outcome) {
@@ -389,12 +396,12 @@
 }
 
 // checkHealth looks for servers that take requests and answer none, for longer than is usual.
-func (b *Balancer) checkHealth() {
+func (b *Balancer) checkHealth(passed float64) {
 	for _, s := range b.servers {
 		if (s.until == 0 || s.trial) && b.missed(s) > missedMost {
 			b.eject(s)
 		}
-		s.trust *= math.Exp(-1.0 / ticks / reportTime)
+		s.trust *= math.Exp(-passed / ticks / reportTime)
 	}
 }
 
@@ -614,7 +621,7 @@
 // a jam shows sooner, but the few in flight at a quiet balancer bunch by chance and count for less. Where
 // servers report little use, what stays in flight hangs somewhere: refusing others would not help it, and as
 // sends fall with each refusal the same few in flight would seem an ever worse jam.
-func (b *Balancer) setShed() {
+func (b *Balancer) setShed(passed float64) {
 	b.weigh() // who is ejected has just changed
 	var wait, age, busy, known, out float64
 	for _, s := range b.servers {
@@ -632,8 +639,9 @@
 		}
 	}
 	b.crowd = int(out / subsetFull) // a busy caller must not crowd its few servers
-	keep := math.Exp(-1.0 / ticks / shareTime)
-	b.sent, b.span, b.late = keep*b.sent, keep*b.span+b.horizon.Seconds()/ticks, keep*b.late
+	one := math.Exp(-1.0 / ticks / shareTime)
+	keep := math.Pow(one, passed)
+	b.sent, b.span, b.late = keep*b.sent, keep*b.span+b.horizon.Seconds()/ticks*(1-keep)/(1-one), keep*b.late
 	b.askedAll *= keep
 	for i := range b.asked {
 		b.asked[i] *= keep
--- a/logic/state.go
+++ b/logic/state.go
@@ -12,7 +12,8 @@
 	rng      *rand.Rand
 	now      time.Duration
 	actions  []Action
-	servers  []*server // those of the list, in the order it first named them
+	ticked   time.Duration // the latest tick
+	servers  []*server     // those of the list, in the order it first named them
 	byID     map[string]*server
 	requests map[string]*request // open, or with attempts in flight
 	open     deadlines           // requests that have a deadline and have not ended
