Bound the kernel's buffers of clients' connections too, where operators say so

Need: the kernel's socket buffers are outside the byte budget; only those to servers could be bounded.

Change: socket_buffer_bytes holds for both sides; the sizing is in internal/flow.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -86,7 +86,7 @@
 		Zones: cfg.Site.Zones, Known: cfg.Known, Seed: cfg.Seed, Clock: clock, Dial: sockets.Dial, Sink: c, Log: log})
 	figures.Add("border", func() any { return c.Faults() })
 	front := fronthttp.New(fronthttp.Config{Site: cfg.Site, Core: c, Clock: clock, Metrics: figures, Budget: budget,
-		Most: share.fromClients, AcceptFor: cfg.AcceptFor, DrainFor: ops.Drain.Longest.D(), Log: log})
+		Most: share.fromClients, AcceptFor: cfg.AcceptFor, DrainFor: ops.Drain.Longest.D(), SocketBuffer: ops.Connections.SocketBufferBytes, Log: log})
 	if sockets.Control != nil {
 		parts.Go(func() {
 			if err := control.Serve(inner, sockets.Control, front, figures, log); err != nil {
--- a/internal/front/http/serve.go
+++ b/internal/front/http/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ryeweir/internal/connlimit"
+	"ryeweir/internal/flow"
 	"ryeweir/internal/framing"
 )
 
@@ -24,7 +25,7 @@
 // Serve answers clients until the context ends and what was taken by then is answered. A socket that is inherited is
 // accepted on by the process before this one, too: this one begins when it has somebody to send to, and stops at once.
 func (s *Server) Serve(ctx context.Context, l net.Listener, inherited bool) error {
-	clients := connlimit.New(framing.Listener{Listener: l}, s.Most)
+	clients := connlimit.New(framing.Listener{Listener: flow.Listener{Listener: l, Bytes: s.SocketBuffer}}, s.Most)
 	defer clients.Close()
 	s.crowded = clients.Crowded
 	srv := s.httpServer()
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -38,15 +38,16 @@
 
 // Config is what a Server works with.
 type Config struct {
-	Site      wire.Site
-	Core      *core.Core
-	Clock     core.Clock
-	Metrics   *metrics.Metrics
-	Budget    *flow.Budget  // for the bodies of requests
-	Most      int           // connections from clients that there may be
-	AcceptFor time.Duration // new connections are accepted for so long after the signal to end
-	DrainFor  time.Duration // answers that still flow may take so long after it; 0: what the platform allows
-	Log       *slog.Logger
+	Site         wire.Site
+	Core         *core.Core
+	Clock        core.Clock
+	Metrics      *metrics.Metrics
+	Budget       *flow.Budget  // for the bodies of requests
+	Most         int           // connections from clients that there may be
+	AcceptFor    time.Duration // new connections are accepted for so long after the signal to end
+	SocketBuffer int           // bytes of the kernel's buffer, each way and connection; 0: what it gives
+	DrainFor     time.Duration // answers that still flow may take so long after it; 0: what the platform allows
+	Log          *slog.Logger
 }
 
 // Server is the side that faces the clients.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ryeweir/internal/core"
+	"ryeweir/internal/flow"
 	"ryeweir/logic"
 )
 
@@ -282,7 +283,9 @@
 	defer cancel()
 	raw, err := p.cfg.Dial(ctx, "tcp", s.Node.Addr)
 	if err == nil {
-		err = p.size(raw)
+		if err = flow.SizeSocket(raw, p.cfg.Buffers); err != nil {
+			raw.Close()
+		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -299,22 +302,6 @@
 	p.carryOut(p.table.Opened(p.cfg.Clock.Now(), s))
 }
 
-// size bounds the kernel's buffers of a connection.
-func (p *Pool) size(raw net.Conn) error {
-	sized, ok := raw.(interface {
-		SetReadBuffer(int) error
-		SetWriteBuffer(int) error
-	})
-	if !ok || p.cfg.Buffers == 0 {
-		return nil
-	}
-	if err := errors.Join(sized.SetReadBuffer(p.cfg.Buffers), sized.SetWriteBuffer(p.cfg.Buffers)); err != nil {
-		raw.Close()
-		return err
-	}
-	return nil
-}
-
 // quiet reports whether an idle connection is open and nothing has come on it. A server that died or closed it shows here,
 // before a request is risked on it.
 func (c *Conn) quiet() bool {
