Split the decision module's file by concern

Need: the module grows by probes and a better estimate of capacity, and one file of 700 lines held all of it.

--- /dev/null
+++ b/logic/attempts.go
@@ -0,0 +1,156 @@
+package logic
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Attempts: what may be sent where, and how a request ends.
+
+// maySend is the one place that says what may be sent where; every send passes it.
+func (b *Balancer) maySend(r *request, s *server) bool {
+	if r.closed || b.now >= r.Deadline || s.State != Ready || len(r.attempts) >= b.set.MaxAttempts ||
+		r.out > 1 || r.out == 1 && !b.set.ParallelCopies || r.spent || r.Partial && r.out > 0 {
+		return false
+	}
+	first := r.mayHaveRun()
+	if first == nil {
+		return true
+	}
+	switch r.class.Effect {
+	case Safe:
+		return true
+	case Keyed:
+		if b.now+b.set.Tick-first.sent >= r.class.Window {
+			return false
+		}
+		switch r.class.Group {
+		case GroupZone:
+			return s.Zone == first.zone
+		case GroupCell:
+			return s.Cell == first.cell
+		}
+		return true
+	}
+	return false
+}
+
+// mayHaveRun is the first attempt that is not known to have had no effect.
+func (r *request) mayHaveRun() *attempt {
+	for _, a := range r.attempts {
+		if !a.neverRan {
+			return a
+		}
+	}
+	return nil
+}
+
+// mayRefuse reports whether the client may be told that trying again does no harm.
+func (r *request) mayRefuse() bool {
+	return r.mayHaveRun() == nil || r.class.Effect == Safe ||
+		r.class.Effect == Keyed && r.class.Group == GroupAll
+}
+
+// try sends the request to the best server, or ends it when there is none.
+func (b *Balancer) try(r *request) {
+	s := b.pick(r)
+	if s == nil {
+		b.finish(r)
+		return
+	}
+	b.send(r, s)
+}
+
+func (b *Balancer) send(r *request, s *server) {
+	if len(s.inFlight) == 0 {
+		s.heard = b.now
+	}
+	a := &attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, sent: b.now, owed: b.now, out: true}
+	if r.Partial {
+		a.owed = 0
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	s.inFlight = append(s.inFlight, a)
+	b.sent++
+	b.act(Action{Kind: Send, Request: r.ID, Server: s.ID})
+}
+
+// copyLate sends a second copy of requests whose answer is late: it may never come, where a connection fell
+// silent or a server hangs, and by the deadline nothing is gained any more. A part of the budget is kept for
+// repeats of what has failed, and none is sent where servers are busy: all is late there, and copies make it
+// worse.
+func (b *Balancer) copyLate() {
+	if b.shed > 0 || b.busy > copyTo {
+		return
+	}
+	var late []*request
+	for _, s := range b.servers {
+		for _, a := range s.inFlight {
+			if a.owed > 0 && b.now-a.owed > time.Duration(copyAfter*b.usual[a.req.Class]) && a.req.out == 1 {
+				late = append(late, a.req)
+			}
+		}
+	}
+	for _, r := range late {
+		if b.budget < retrySaved/2 {
+			return
+		}
+		if s := b.pick(r); s != nil && !r.tried(s) {
+			b.budget--
+			b.send(r, s)
+		}
+	}
+}
+
+func (b *Balancer) outcome(o Outcome) {
+	r := b.requests[o.Request]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || !r.attempts[o.Attempt].out {
+		return
+	}
+	a := r.attempts[o.Attempt]
+	a.out, a.neverRan = false, o.Result.neverRan()
+	r.out--
+	r.spent = r.spent || o.Spent
+	a.srv.inFlight = slices.DeleteFunc(a.srv.inFlight, func(other *attempt) bool { return other == a })
+	b.report(a.srv, o.Report)
+	b.judge(a, o)
+	switch {
+	case r.closed || o.Closed:
+		b.close(r)
+	case r.out > 0: // the other copy goes on
+	case r.spent:
+		b.finish(r)
+	case b.budget >= 1:
+		b.budget--
+		b.try(r)
+	default:
+		b.finish(r)
+	}
+}
+
+// finish ends a request that was not served. A refusal is a promise, so it is a failure where that is not
+// known to hold.
+func (b *Balancer) finish(r *request) {
+	if r.closed {
+		return
+	}
+	kind := Fail
+	if r.mayRefuse() {
+		kind = Refuse
+	}
+	b.act(Action{Kind: kind, Request: r.ID, After: min(b.set.MaxRetryAfter, r.class.Aim/2)})
+	b.close(r)
+}
+
+// close marks the request as ended; it is kept while attempts are in flight.
+func (b *Balancer) close(r *request) {
+	if r.limited {
+		heap.Remove(&b.open, r.place)
+	}
+	r.closed = true
+	if r.out == 0 {
+		delete(b.requests, r.ID)
+	}
+}
--- /dev/null
+++ b/logic/draw.go
@@ -0,0 +1,118 @@
+package logic
+
+import (
+	"hash/fnv"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// The draw: Algorithm 1 of "Balls into non-uniform bins".
+
+// pick chooses a server by Algorithm 1 of "Balls into non-uniform bins": draw servers with probability
+// capacity over total, take the lowest load after the request, then the largest capacity, then any.
+func (b *Balancer) pick(r *request) *server {
+	b.weigh()
+	if s := b.trial(r); s != nil {
+		s.trial, s.heard = true, b.now
+		return s
+	}
+	ok, total, cold := b.candidates(r)
+	if len(ok) == 0 {
+		return cold
+	}
+	var drawn [draws]*server
+	for i := range drawn {
+		drawn[i] = draw(ok, b.rng.Float64()*total)
+	}
+	if cold != nil {
+		drawn[0] = cold
+	} else if b.set.WarmKeys && r.Key != "" {
+		drawn[0] = home(ok, r.Key)
+		drawn[0].weight *= warmTimes
+	}
+	lowest := math.Inf(1)
+	for _, s := range drawn {
+		lowest = min(lowest, s.load())
+	}
+	var best *server
+	ties := 0
+	for _, s := range drawn {
+		switch {
+		case s.load() > lowest*(1+tie) || best != nil && s.weight < best.weight:
+			continue
+		case best == nil || s.weight > best.weight:
+			best, ties = s, 1
+		default:
+			if ties++; b.rng.IntN(ties) == 0 {
+				best = s
+			}
+		}
+	}
+	return best
+}
+
+func draw(from []*server, x float64) *server {
+	for _, s := range from {
+		if x -= s.weight; x < 0 {
+			return s
+		}
+	}
+	return from[len(from)-1]
+}
+
+// home draws as draw does, but by the key in place of chance (weighted rendezvous hashing): all balancers
+// send a key to the same server, which then knows it, and few keys move when capacities change.
+func home(from []*server, key string) (best *server) {
+	lowest := math.Inf(1)
+	for _, s := range from {
+		u := rand.New(rand.NewPCG(hash(key+s.ID), 0)).ExpFloat64()
+		if x := u / s.weight; x < lowest || best == nil {
+			best, lowest = s, x
+		}
+	}
+	return best
+}
+
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	io.WriteString(h, text)
+	return h.Sum64()
+}
+
+// load is what the server would bear for its capacity with one request more.
+func (s *server) load() float64 { return float64(len(s.inFlight)+1) / s.weight }
+
+// candidates lists the warm servers that may get the request, and their total weight: those that are well and
+// were not tried yet, or else any that the rules allow. A cold server comes in only as the first draw may, by
+// its weight at present in the warm capacity of all: in a jam its own counts are the lowest of all and it
+// would draw everything, and after a release of many servers the warm ones are too few to share with.
+func (b *Balancer) candidates(r *request) (ok []*server, total float64, cold *server) {
+	drawn := b.rng.Float64() * b.whole / max(1, b.set.Overload*coldPart)
+	for _, strict := range []bool{true, false} {
+		x, n := drawn, 0
+		for _, s := range b.servers {
+			if n >= max(b.subset, b.crowd) {
+				break
+			}
+			if !b.maySend(r, s) || strict && (b.ejected(s) || r.tried(s)) {
+				continue
+			}
+			n++
+			if s.coldShare(b) == 1 {
+				ok, total = append(ok, s), total+s.weight
+			} else if x -= s.weight; x < 0 && cold == nil {
+				cold = s
+			}
+		}
+		if len(ok) > 0 || cold != nil {
+			break
+		}
+	}
+	return ok, total, cold
+}
+
+func (r *request) tried(s *server) bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.srv == s })
+}
--- /dev/null
+++ b/logic/health.go
@@ -0,0 +1,95 @@
+package logic
+
+import (
+	"math"
+)
+
+// Health: outlier ejection and readmission.
+
+// ejected reports whether the server is kept out as ill. When most of the capacity seems ill, the
+// suspicion is: in a jam all servers are late, and none is kept out for it.
+func (b *Balancer) ejected(s *server) bool {
+	return s.until > 0 && b.well >= healthyPart*b.total
+}
+
+// Unavailable is how many servers of the list get no requests now: they drain, or are kept out as ill.
+func (b *Balancer) Unavailable() (n int) {
+	for _, s := range b.servers {
+		if s.State != Ready || b.ejected(s) {
+			n++
+		}
+	}
+	return n
+}
+
+// judge learns from an outcome how the server does. Errors and rejections come fast and make a server look
+// idle, so they lower its weight; only answers count as rate.
+func (b *Balancer) judge(a *attempt, o Outcome) {
+	s, bad := a.srv, 0.0
+	switch o.Result {
+	case OK:
+		b.usual[a.req.Class] += learn * (float64(o.Took) - b.usual[a.req.Class])
+		s.heard = b.now
+		b.ownRate(s, o.Took)
+		b.lateness(float64(o.Took) / float64(a.req.class.Aim))
+	case TimedOut:
+		if s.heard > a.owed && s.until == 0 {
+			b.lateness(1)
+			return // it answers others: the request is costly or the server in a jam, not ill
+		}
+		bad = 1
+	case Failed, Rejected, ConnectFailed, Reset:
+		if o.Result == Rejected {
+			b.lateness(1)
+		}
+		bad = 1
+	default:
+		s.trial = false
+		return
+	}
+	s.failing += failWeight * (bad - s.failing)
+	switch {
+	case s.until > 0 && bad == 0 && (s.trial || s.failing < failEject):
+		s.until, s.trial, s.failing = 0, false, 0
+	case s.until == 0 && s.failing > failEject, s.trial:
+		b.eject(s)
+	}
+}
+
+// eject keeps a server out of the draws for a horizon; then one request to spare tries it.
+func (b *Balancer) eject(s *server) { s.until, s.trial = b.now+b.horizon, false }
+
+// missed is how many answers the server would have given, at the usual pace, since it gave the last one.
+// Waiting is counted over all that is in flight: one late answer is a costly request, many are a silent
+// server.
+func (b *Balancer) missed(s *server) (n float64) {
+	for _, a := range s.inFlight {
+		if a.owed > 0 {
+			n += float64(b.now-max(a.owed, s.heard)) / b.usual[a.req.Class]
+		}
+	}
+	return n
+}
+
+// checkHealth looks for servers that take requests and answer none, for longer than is usual.
+func (b *Balancer) checkHealth(passed float64) {
+	for _, s := range b.servers {
+		if (s.until == 0 || s.trial) && b.missed(s) > missedMost {
+			b.eject(s)
+		}
+		s.trust *= math.Exp(-passed / ticks / reportTime)
+	}
+}
+
+// trial returns an ejected server that is due to be tried, if the request is one to risk.
+func (b *Balancer) trial(r *request) *server {
+	if len(r.attempts) > 0 || r.class.Effect != b.trialBy {
+		return nil
+	}
+	for _, s := range b.servers {
+		if s.until > 0 && b.now >= s.until && !s.trial && s.coldShare(b) == 1 && b.maySend(r, s) {
+			return s
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/logic/members.go
@@ -0,0 +1,59 @@
+package logic
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Membership: the list of servers, and how it is asked for.
+
+// list takes the list or a change of it. Every change counts from the same event on.
+func (b *Balancer) list(l ServerList) {
+	b.tries = 0
+	named := make(map[string]bool, len(l.Servers))
+	for _, e := range l.Servers {
+		named[e.ID] = true
+		s := b.byID[e.ID]
+		if s == nil {
+			s = &server{heard: b.now, rank: hash(strconv.Itoa(b.set.Me) + " " + e.ID)}
+			b.byID[e.ID] = s
+			b.servers = append(b.servers, s)
+		} else if e.Started != s.Started {
+			// A restarted process is cold and well: what an earlier life showed says nothing of it.
+			*s = server{inFlight: s.inFlight, heard: b.now, rank: s.rank}
+		}
+		s.Server = e
+		if !b.set.ListWeights || e.Weight <= 0 {
+			s.Weight = 1
+		}
+	}
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
+		gone := s.State == Gone || l.Full && !named[s.ID]
+		if gone {
+			s.State = Gone // attempts in flight still hold it
+			delete(b.byID, s.ID)
+		}
+		return gone
+	})
+	slices.SortFunc(b.servers, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
+	b.subset = max(subsetLeast, int(coverLeast*float64(len(b.servers))/float64(b.set.Balancers)))
+}
+
+// resubscribe asks again, later each time and at random: all that lost the list together must not swamp it.
+func (b *Balancer) resubscribe() {
+	if !b.set.Subscribe || b.asking {
+		return
+	}
+	b.asking = true // one timer is enough, however many calls have failed
+	// A large fleet waits for longer, so that discovery comes to an end with the calls it has.
+	crowd := min(mostCrowd, max(1, float64(b.set.Balancers)/usualFleet))
+	wait := crowd * float64(b.horizon) * math.Exp2(float64(min(b.tries, mostWaits)))
+	wait *= (0.5 + b.rng.Float64()) / 2
+	if b.tries++; b.set.MustAskIn > 0 { // who asks in vain has four times this to ask again
+		wait = min(wait, crowd*float64(b.set.MustAskIn)/2)
+	}
+	b.timer(subscribeToken, time.Duration(wait))
+}
