--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,8 @@
 	"ryeweir/internal/httpmsg"
 	"ryeweir/internal/metrics"
 	"ryeweir/internal/pool"
+	"ryeweir/internal/probe"
+	"ryeweir/internal/snapshot"
 	uphttp "ryeweir/internal/upstream/http"
 	"ryeweir/logic"
 )
@@ -46,7 +48,9 @@
 // Run serves until the context ends, then drains as the platform's restarts want it. It closes the sockets.
 func Run(ctx context.Context, cfg platform.Config, ops operator.File, reloads Reloads, sockets Sockets, log *slog.Logger) error {
 	defer sockets.Clients.Close()
-	balancer, err := logic.New(cfg.Site.Logic, cfg.Seed)
+	settings := cfg.Site.Logic
+	ops.Probes.Apply(&settings)
+	balancer, err := logic.New(settings, cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -58,6 +62,10 @@
 
 	share := shareSockets(cfg.Sockets, sockets)
 	clock := core.NewClock()
+	kept, keep := learnt(cfg, ops.Snapshot)
+	if keep {
+		recall(balancer, kept, ops.Snapshot, clock, log)
+	}
 	conns, err := pool.New(pool.Config{Settings: ops.Connections.Settings(connections(cfg, share.toBackends)), Buffers: ops.Connections.SocketBufferBytes, ConnectIn: cfg.Site.ConnectTimeout, Seed: cfg.Seed, Clock: clock,
 		Dial: sockets.Dial, Wrap: uphttp.Wrap})
 	if err != nil {
@@ -79,8 +87,10 @@
 		Noted: func(err error) {
 			badReport.Do(func() { log.Warn("passing over a malformed report; further ones are not logged", "error", err) })
 		}}
+	prober := probe.New(probe.Config{Settings: ops.Probes.Settings(), Reports: len(cfg.Site.ReportFields) > 0, Clock: clock, Asker: upstream, Log: log})
+	figures.Add("probes", func() any { return prober.Counts() })
 	var disco *discovery.Client
-	c := core.New(core.Config{Balancer: balancer, Clock: clock, Upstream: upstream, Upload: httpmsg.LongestUpload,
+	c := core.New(core.Config{Balancer: balancer, Clock: clock, Upstream: upstream, Prober: prober, Upload: httpmsg.LongestUpload,
 		Subscribe: func() { disco.Ask() }, Members: figures.SetMembers, Log: log})
 	disco = discovery.New(discovery.Config{Addr: cfg.Discovery, Agents: cfg.Site.Logic.Balancers, Asked: cfg.Site.Logic.Subscribe,
 		Zones: cfg.Site.Zones, Known: cfg.Known, Seed: cfg.Seed, Clock: clock, Dial: sockets.Dial, Sink: c, Log: log})
@@ -100,8 +110,12 @@
 		conns.Close()
 	})
 	parts.Go(func() { disco.Run(inner) })
+	if keep {
+		parts.Go(func() { snapshot.Keep(ctx, kept, ops.Snapshot.Every.D(), c.Knowledge, log) })
+	}
 	parts.Go(func() {
 		reloads.follow(inner, cfg, ops, disco, func(fresh operator.File) error {
+			prober.Configure(fresh.Probes.Settings())
 			return conns.Configure(fresh.Connections.Settings(connections(cfg, share.toBackends)))
 		}, log)
 	})
--- a/internal/config/operator/operator.go
+++ b/internal/config/operator/operator.go
@@ -10,14 +10,46 @@
 
 	"ryeweir/internal/config"
 	"ryeweir/internal/pool"
+	"ryeweir/internal/probe"
+	"ryeweir/internal/wire"
+	"ryeweir/logic"
 )
 
 // File is the operators' file.
 type File struct {
 	Connections Connections `toml:"connections"`
+	Probes      Probes      `toml:"probes"`
+	Snapshot    Snapshot    `toml:"snapshot"`
 	Drain       Drain       `toml:"drain"`
 }
 
+// Snapshot is how what an agent has learnt is kept for the process after it.
+type Snapshot struct {
+	Every  config.Duration `toml:"every"`
+	Oldest config.Duration `toml:"oldest"`
+	Dir    string          `toml:"dir"`
+}
+
+// Probes is what asking servers for their load may cost, where the platform allows probes at all.
+type Probes struct {
+	Share      float64         `toml:"per_request"`
+	PerServer  float64         `toml:"per_server_per_second"`
+	Concurrent int             `toml:"concurrent"`
+	Timeout    config.Duration `toml:"timeout"`
+}
+
+// Settings are the limits of those who carry probes out.
+func (p *Probes) Settings() probe.Settings {
+	return probe.Settings{Most: p.Concurrent, Timeout: p.Timeout.D()}
+}
+
+// Apply puts what the file says into the settings of the module.
+func (p *Probes) Apply(set *logic.Settings) {
+	if set.ProbeShare > 0 { // else the platform allows none
+		set.ProbeShare, set.ServerProbes = p.Share, p.PerServer
+	}
+}
+
 // Connections is how connections to servers are opened, used and closed. A limit of 0 is one that the agent works out.
 type Connections struct {
 	Places            int             `toml:"places"`
@@ -53,7 +85,9 @@
 	set := pool.DefaultSettings(1)
 	return File{Connections: Connections{Reuse: "newest", AgeJitter: 0.2, IdlePart: set.IdlePart, IdleLeast: config.Duration(set.IdleLeast),
 		IdleHeal: config.Duration(set.IdleHeal), SurePart: set.SurePart, SuspectAfter: set.SuspectFailures,
-		SuspectWithin: config.Duration(set.SuspectWithin), Suspect: "close", AheadMost: set.AheadMost}}
+		SuspectWithin: config.Duration(set.SuspectWithin), Suspect: "close", AheadMost: set.AheadMost},
+		Probes:   Probes{Share: wire.ProbeShare, PerServer: wire.ServerProbes, Concurrent: probe.DefaultMost, Timeout: config.Duration(probe.DefaultTimeout)},
+		Snapshot: Snapshot{Every: config.Duration(2 * time.Second), Oldest: config.Duration(30 * time.Second)}}
 }
 
 // Load reads and checks a file; an empty name gives the defaults.
@@ -79,10 +113,13 @@
 
 // Bounds of what a file may say.
 const (
-	mostPlaces  = 1 << 16
-	leastBuffer = 4 << 10
-	mostBuffer  = 16 << 20
-	longestTime = 24 * time.Hour
+	mostPlaces   = 1 << 16
+	leastBuffer  = 4 << 10
+	mostBuffer   = 16 << 20
+	longestTime  = 24 * time.Hour
+	leastEvery   = 100 * time.Millisecond
+	mostProbes   = 1024
+	longestProbe = 10 * time.Second
 )
 
 // Check says all that is wrong with it.
@@ -115,6 +152,14 @@
 	_, known := orders[c.Reuse]
 	wrong(!known, "connections.reuse", "%q is not newest, oldest or fewest", c.Reuse)
 	wrong(c.Suspect != "try" && c.Suspect != "close", "connections.suspect", "%q is not try or close", c.Suspect)
+	p := &f.Probes
+	wrong(!(p.Share >= 0 && p.Share <= 1), "probes.per_request", "must be from 0 to 1")
+	wrong(!(p.PerServer >= 0 && p.PerServer <= 1e6), "probes.per_server_per_second", "must be from 0 to 1000000")
+	wrong(p.Concurrent < 1 || p.Concurrent > mostProbes, "probes.concurrent", "must be from 1 to %d", mostProbes)
+	wrong(p.Timeout.D() < time.Millisecond || p.Timeout.D() > longestProbe, "probes.timeout", "must be from 1ms to %v", longestProbe)
+	s := &f.Snapshot
+	wrong(s.Every < 0 || s.Every.D() > longestTime || s.Every > 0 && s.Every.D() < leastEvery, "snapshot.every", "must be 0s, or from %v to %v", leastEvery, longestTime)
+	wrong(s.Oldest < 0 || s.Oldest.D() > longestTime, "snapshot.oldest", "must be from 0s to %v", longestTime)
 	wrong(f.Drain.Longest < 0 || f.Drain.Longest.D() > longestTime, "drain.longest", "must be from 0s to %v", longestTime)
 	return errors.Join(all...)
 }
@@ -151,6 +196,15 @@
 	if f.Connections.SocketBufferBytes != fresh.Connections.SocketBufferBytes {
 		keys = append(keys, "connections.socket_buffer_bytes")
 	}
+	if f.Probes.Share != fresh.Probes.Share {
+		keys = append(keys, "probes.per_request")
+	}
+	if f.Probes.PerServer != fresh.Probes.PerServer {
+		keys = append(keys, "probes.per_server_per_second")
+	}
+	if f.Snapshot != fresh.Snapshot {
+		keys = append(keys, "snapshot")
+	}
 	if f.Drain.Longest != fresh.Drain.Longest {
 		keys = append(keys, "drain.longest")
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,11 +21,18 @@
 	Clock     Clock
 	Upstream  Upstream
 	Upload    time.Duration             // how long a Partial call may take to come in
+	Prober    Prober                    // nil where the module asks for no probes
 	Subscribe func()                    // asks for the list, where it must be asked for
 	Members   func(listed, avoided int) // is told how many servers are listed, and how many of them are avoided
 	Log       *slog.Logger
 }
 
+// Prober asks a server's present life, as the upstream's Bind returned it, how it does. It returns within its own time-out, or
+// when the context ends.
+type Prober interface {
+	Probe(ctx context.Context, server string, target any) logic.Probed
+}
+
 // Core is the one goroutine that owns the module: events come in by a channel, and it carries out what the module decides.
 // It waits for nothing but the next event or timer.
 type Core struct {
@@ -38,6 +45,8 @@
 	ready    atomic.Bool   // there is a server to send to
 	listed   chan struct{} // closed when there first is one
 	faults   Faults
+	taken    atomic.Int64 // calls
+	known    int64        // of them when what was learnt was last asked for
 
 	first    sync.Once
 	ctx      context.Context // of the attempts
@@ -68,6 +77,10 @@
 		attempt *Attempt
 		outcome Outcome
 	}
+	// probed is the result of a probe.
+	probed struct{ logic.Probed }
+	// asked wants to know what has been learnt.
+	asked struct{ knowledge chan<- logic.Knowledge }
 	// unavailable says that a subscription to the list ended or could not be had.
 	unavailable struct{}
 )
@@ -108,6 +121,24 @@
 // ListUnavailable says that a subscription to the list ended or could not be had.
 func (c *Core) ListUnavailable() { c.tell(unavailable{}) }
 
+// Knowledge is what has been learnt so far; false when no call has come since it was last asked, or the core has ended. It is
+// for one caller.
+func (c *Core) Knowledge() (logic.Knowledge, bool) {
+	if taken := c.taken.Load(); taken == c.known {
+		return logic.Knowledge{}, false
+	} else {
+		c.known = taken
+	}
+	out := make(chan logic.Knowledge, 1)
+	c.tell(asked{out})
+	select {
+	case k := <-out:
+		return k, true
+	case <-c.done:
+		return logic.Knowledge{}, false
+	}
+}
+
 // Done is closed when the core has ended: no call gets an answer any more.
 func (c *Core) Done() <-chan struct{} { return c.done }
 
@@ -186,6 +217,10 @@
 		c.leave(e.call)
 	case List:
 		c.list(e)
+	case probed:
+		c.decide(e.Probed)
+	case asked:
+		e.knowledge <- c.balancer.Knowledge(c.clock.Now())
 	case unavailable:
 		c.decide(logic.ListUnavailable{})
 	}
@@ -202,6 +237,7 @@
 		return
 	}
 	call.taken = c.clock.Now()
+	c.taken.Add(1)
 	c.calls[call.ID] = call
 	c.decide(logic.Request{ID: call.ID, Class: call.Class, Tenant: call.Tenant, Key: call.Key, Deadline: call.Deadline,
 		Again: call.Again, Partial: call.Partial})
@@ -250,7 +286,7 @@
 	}
 }
 
-// do carries out the module's actions. It makes no use of Cancel, Probe and Tell so far.
+// do carries out the module's actions. It makes no use of Cancel and Tell so far.
 func (c *Core) do(actions []logic.Action) {
 	for _, a := range actions {
 		switch a.Kind {
@@ -264,6 +300,8 @@
 			heap.Push(&c.timers, timer{due: c.clock.Now() + a.After, token: a.Token})
 		case logic.Subscribe:
 			c.cfg.Subscribe()
+		case logic.Probe:
+			c.probe(a.Server)
 		}
 	}
 }
@@ -276,6 +314,18 @@
 	c.attempts.Go(func() { c.try(c.ctx, a) })
 }
 
+// probe starts a probe in a goroutine of its own.
+func (c *Core) probe(server string) {
+	target := c.upstream.Bind(server)
+	c.attempts.Go(func() {
+		if c.cfg.Prober == nil {
+			c.tell(probed{logic.Probed{Server: server, Result: logic.NotSent, Report: logic.NoReport}})
+			return
+		}
+		c.tell(probed{c.cfg.Prober.Probe(c.ctx, server, target)})
+	})
+}
+
 // finish gives a call its answer, unless it has one.
 func (c *Core) finish(call *Call, a Answer) {
 	if call == nil || call.over.Load() {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -39,6 +39,10 @@
 	usualFleet   = 8 // agents up to which none of this is needed
 	watchEach    = 250 * time.Millisecond
 	longestWatch = 9 * time.Second
+	hugeWatch    = 50 * time.Millisecond // for each agent of a fleet for which that is not enough
+	mostWatch    = 55 * time.Second      // discovery lets a watch wait for a minute
+	rushEach     = 40 * time.Millisecond // between two agents' calls after an outage
+	mostRush     = time.Minute
 	queueTimeout = 2200 * time.Millisecond // in place of callTimeout
 )
 
@@ -107,6 +111,7 @@
 	rng     *rand.Rand
 	timeout time.Duration // for an answer, past the wait of a watch
 	wait    time.Duration // of a watch
+	rush    time.Duration // calls after one that failed come within this at least: all agents' fail together
 	spread  time.Duration // the first call comes within this, where a list is known
 	fails   int           // calls that failed in a row
 	at      string        // the address that is followed
@@ -140,8 +145,9 @@
 		version:   -1,
 	}
 	if cfg.Agents > usualFleet {
-		d.wait = min(longestWatch, time.Duration(cfg.Agents)*watchEach)
+		d.wait = max(min(longestWatch, time.Duration(cfg.Agents)*watchEach), min(mostWatch, time.Duration(cfg.Agents)*hugeWatch))
 		d.timeout, d.spread = queueTimeout, d.wait
+		d.rush = min(mostRush, time.Duration(cfg.Agents)*rushEach)
 		if len(d.known.Servers) > 0 { // changes are all that is asked for
 			d.version = d.known.Version
 		}
@@ -243,7 +249,7 @@
 			d.sink.ListUnavailable()
 			continue
 		}
-		d.pause(ctx, 2*retryPause<<min(d.fails, mostPauses))
+		d.pause(ctx, max(2*retryPause<<min(d.fails, mostPauses), d.rush))
 		d.fails++
 	}
 }
--- a/internal/lab/outcome.go
+++ b/internal/lab/outcome.go
@@ -61,6 +61,8 @@
 	Handshakes  int                    `json:"handshakes"`
 	ListCalls   int                    `json:"list_calls"`
 	Chokes      int                    `json:"chokes"`
+	Truths      *Truths                `json:"truths,omitempty"`                   // of a simulation
+	ProbeWork   float64                `json:"probe_work"`                         // as a share of what the nodes could do
 	CPU         float64                `json:"agent_cpu_us_per_request,omitempty"` // of all agents' processes
 	Skipped     int                    `json:"skipped"`                            // calls that found too many open
 	Lag         float64                `json:"lag_ms"`                             // the latest that a call was sent after its time
@@ -117,6 +119,7 @@
 		o.Waste = float64(all.Wasted) / float64(all.Work)
 	}
 	o.Probes, o.Handshakes, o.Chokes = all.Probes, all.Handshakes, all.Chokes
+	o.ProbeWork = float64(all.Probes) * t.day.Nodes[0].ProbeWork.Seconds() / (t.day.Capacity * t.day.Length.Seconds())
 	o.Series = series(t.calls)
 	o.Series.Load = t.load
 	for _, n := range t.day.Nodes {
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -17,10 +17,11 @@
 
 // Arm is a way to get requests to nodes.
 type Arm struct {
-	Name    string
-	Command []string // of an agent's process; empty for callers that choose by themselves
-	Chooser string   // the reference arm's name
-	Limits  world.Limits
+	Name     string
+	Command  []string // of an agent's process; empty for callers that choose by themselves
+	Chooser  string   // the reference arm's name
+	Operator string   // of an agent: its operators' file; empty for the defaults
+	Limits   world.Limits
 }
 
 // Live is what a run has come to, for those who watch it.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -173,6 +173,18 @@
 	}
 }
 
+// GetSpare returns a connection as Get does, for what must not stand in the way of attempts: only where none waits, and one that
+// is idle or, while a part of the places is free, a new one.
+func (p *Pool) GetSpare(ctx context.Context, n *Node, until time.Time) (*Conn, error) {
+	p.mu.Lock()
+	spare := p.table.Spare(n)
+	p.mu.Unlock()
+	if !spare {
+		return nil, ErrNoRoom
+	}
+	return p.Get(ctx, n, false, until)
+}
+
 // want asks for a connection: one that is open and quiet, or a place in the queue.
 func (p *Pool) want(n *Node, careful bool) (*Conn, *Waiter, time.Duration) {
 	p.mu.Lock()
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -213,6 +213,12 @@
 	return nil, w, t.actions
 }
 
+// Spare reports whether something may have a connection to the server that must not stand in the way of attempts: none waits,
+// and one is idle there or a tenth of all places is free.
+func (t *Table) Spare(n *Node) bool {
+	return t.waiting == 0 && (n != nil && len(n.idle) > 0 || 10*(t.open+t.opening) < 9*t.set.Most)
+}
+
 // refused is a waiter that has its answer.
 func (t *Table) refused(why Why) *Waiter {
 	w := &Waiter{Answer: make(chan Action, 1)}
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,158 @@
+// Package snapshot keeps what an agent has learnt in a file, so that the process that comes after it does not start blind. A
+// file that is too old, of another agent or not whole is as good as none: it only ever helps.
+package snapshot
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"hash/fnv"
+	"io"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"ryeweir/logic"
+)
+
+// MaxSize is the most bytes that a file may hold: some thousands of servers.
+const MaxSize = 1 << 20
+
+// The form of a file: the magic, the CRC-32C of what follows, then a document in JSON.
+const (
+	magic  = "RYWK\x01\n"
+	header = len(magic) + 4
+)
+
+// document is what a file holds.
+type document struct {
+	Agent     string          `json:"agent"`
+	Classes   []string        `json:"classes"`
+	Taken     time.Time       `json:"taken"`
+	Knowledge logic.Knowledge `json:"knowledge"`
+}
+
+// File is where an agent's knowledge is kept.
+type File struct {
+	Path    string
+	Agent   string   // whose it is
+	Classes []string // of its settings: another set would mean other figures
+}
+
+// In is the file of an agent in a folder.
+func In(dir, agent string, classes []string) File {
+	h := fnv.New64a()
+	io.WriteString(h, agent)
+	return File{Path: filepath.Join(dir, fmt.Sprintf("ryeweir-%016x.knowledge", h.Sum64())), Agent: agent, Classes: classes}
+}
+
+// Why a file is of no use.
+var (
+	ErrNone  = errors.New("there is no snapshot")
+	ErrBad   = errors.New("the snapshot is spoilt")
+	ErrOther = errors.New("the snapshot is another agent's, or of other settings")
+	ErrOld   = errors.New("the snapshot is too old")
+)
+
+// Save replaces the file whole, or leaves the one that is there.
+func (f File) Save(k logic.Knowledge, now time.Time) error {
+	text, err := json.Marshal(document{Agent: f.Agent, Classes: f.Classes, Taken: now, Knowledge: k})
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	if header+len(text) > MaxSize {
+		return fmt.Errorf("snapshot: %d bytes are more than %d", header+len(text), MaxSize)
+	}
+	data := binary.BigEndian.AppendUint32([]byte(magic), crc32.Checksum(text, crc32.MakeTable(crc32.Castagnoli)))
+	data = append(data, text...)
+	part, err := os.CreateTemp(filepath.Dir(f.Path), filepath.Base(f.Path)+".*") // two processes may write at a time
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	defer os.Remove(part.Name()) // which is in vain once it has its name
+	_, err = part.Write(data)
+	if err = errors.Join(err, part.Close()); err == nil {
+		err = os.Rename(part.Name(), f.Path)
+	}
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	return nil
+}
+
+// Load reads the file, and how long ago it was written: at most so long. The error wraps one of the reasons above.
+func (f File) Load(now time.Time, oldest time.Duration) (logic.Knowledge, time.Duration, error) {
+	var none logic.Knowledge
+	in, err := os.Open(f.Path)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return none, 0, ErrNone
+	case err != nil:
+		return none, 0, fmt.Errorf("%w: %w", ErrBad, err)
+	}
+	defer in.Close()
+	data, err := io.ReadAll(io.LimitReader(in, MaxSize+1))
+	if err != nil {
+		return none, 0, fmt.Errorf("%w: %w", ErrBad, err)
+	}
+	doc, err := decode(data)
+	if err != nil {
+		return none, 0, err
+	}
+	if doc.Agent != f.Agent || fmt.Sprint(doc.Classes) != fmt.Sprint(f.Classes) {
+		return none, 0, ErrOther
+	}
+	ago := now.Sub(doc.Taken)
+	if ago > oldest || ago < -time.Second { // one from the future comes from a clock that has stepped
+		return none, 0, fmt.Errorf("%w: written %v ago", ErrOld, ago.Round(time.Millisecond))
+	}
+	return doc.Knowledge, max(0, ago), nil
+}
+
+// decode reads a file's bytes.
+func decode(data []byte) (doc document, err error) {
+	switch {
+	case len(data) > MaxSize:
+		return doc, fmt.Errorf("%w: over %d bytes", ErrBad, MaxSize)
+	case len(data) < header || string(data[:len(magic)]) != magic:
+		return doc, fmt.Errorf("%w: no snapshot of this version", ErrBad)
+	case binary.BigEndian.Uint32(data[len(magic):]) != crc32.Checksum(data[header:], crc32.MakeTable(crc32.Castagnoli)):
+		return doc, fmt.Errorf("%w: the checksum differs", ErrBad)
+	}
+	if err := json.Unmarshal(data[header:], &doc); err != nil {
+		return doc, fmt.Errorf("%w: %w", ErrBad, err)
+	}
+	return doc, nil
+}
+
+// Keep writes what is known at intervals and once more when the context ends, as long as there is something new. Know returns
+// what is known, and false when nothing has changed since it was last asked or nobody can tell any more.
+func Keep(ctx context.Context, f File, every time.Duration, know func() (logic.Knowledge, bool), log *slog.Logger) {
+	t := time.NewTicker(every)
+	defer t.Stop()
+	failed := false
+	for ended := false; !ended; {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			ended = true
+		}
+		k, ok := know()
+		if !ok {
+			continue
+		}
+		switch err := f.Save(k, time.Now()); {
+		case err != nil && !failed:
+			failed = true
+			log.Warn("what has been learnt is not kept; further failures are not logged", "error", err)
+		case err == nil && failed:
+			failed = false
+			log.Info("what has been learnt is kept again")
+		}
+	}
+}
--- /dev/null
+++ b/internal/snapshot/snapshot_test.go
@@ -0,0 +1,126 @@
+package snapshot
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ryeweir/logic"
+)
+
+func sample() logic.Knowledge {
+	return logic.Knowledge{Usual: []time.Duration{30 * time.Millisecond}, Worth: 12, Servers: []logic.ServerKnowledge{
+		{ID: "s-1", Took: 0.03, Known: 9, Polled: 3.2, Error: 0.04}, {ID: "s-2", Life: time.Minute, Failing: 0.4, Out: time.Second}}}
+}
+
+func TestSnapshot(t *testing.T) {
+	f := In(t.TempDir(), "n3/../x", []string{"pay"})
+	now := time.Now()
+	if _, _, err := f.Load(now, time.Minute); !errors.Is(err, ErrNone) {
+		t.Errorf("before the first: %v", err)
+	}
+	if err := f.Save(sample(), now); err != nil {
+		t.Fatal(err)
+	}
+	k, ago, err := f.Load(now.Add(5*time.Second), time.Minute)
+	if err != nil || ago.Round(time.Second) != 5*time.Second || !reflect.DeepEqual(k, sample()) {
+		t.Errorf("%+v, %v ago, %v", k, ago, err)
+	}
+	other := In(filepath.Dir(f.Path), "n3/../x", []string{"pay", "ask"})
+	for name, c := range map[string]struct {
+		f    File
+		at   time.Time
+		want error
+	}{
+		"too old":         {f, now.Add(2 * time.Minute), ErrOld},
+		"from the future": {f, now.Add(-time.Minute), ErrOld},
+		"other settings":  {other, now, ErrOther},
+		"other agent":     {File{f.Path, "n4", f.Classes}, now, ErrOther},
+	} {
+		if _, _, err := c.f.Load(c.at, time.Minute); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if left, err := filepath.Glob(filepath.Join(filepath.Dir(f.Path), "*")); err != nil || len(left) != 1 {
+		t.Errorf("files %v, %v", left, err)
+	}
+	big := logic.Knowledge{Servers: make([]logic.ServerKnowledge, 20000)}
+	if err := f.Save(big, now); err == nil {
+		t.Error("a snapshot beyond the bound was written")
+	}
+	if err := os.WriteFile(f.Path, make([]byte, MaxSize+1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := f.Load(now, time.Minute); !errors.Is(err, ErrBad) {
+		t.Errorf("a file beyond the bound: %v", err)
+	}
+}
+
+// Any byte that differs, and any end that is missing, is noticed.
+func TestSpoilt(t *testing.T) {
+	f := In(t.TempDir(), "n", nil)
+	if err := f.Save(sample(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(f.Path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range whole {
+		bad := append([]byte(nil), whole...)
+		bad[i] ^= 0x20
+		if _, err := decode(bad); !errors.Is(err, ErrBad) {
+			t.Fatalf("with byte %d changed: %v", i, err)
+		}
+		if _, err := decode(whole[:i]); !errors.Is(err, ErrBad) {
+			t.Fatalf("cut at %d: %v", i, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(magic + "\x00\x00\x00\x00{}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := decode(data); err != nil && !errors.Is(err, ErrBad) {
+			t.Error(err)
+		}
+	})
+}
+
+// What is new is written at intervals and at the end; a folder that can't be written to stops nothing.
+func TestKeep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := In(t.TempDir(), "n", nil)
+		ctx, stop := context.WithCancel(t.Context())
+		asked, fresh := 0, true
+		know := func() (logic.Knowledge, bool) {
+			asked++
+			is := fresh
+			fresh = false
+			return sample(), is
+		}
+		ended := make(chan struct{})
+		go func() { Keep(ctx, f, time.Second, know, slog.New(slog.DiscardHandler)); close(ended) }()
+		time.Sleep(2500 * time.Millisecond)
+		if _, err := os.Stat(f.Path); err != nil || asked != 2 {
+			t.Fatalf("asked %d times, %v", asked, err)
+		}
+		os.Remove(f.Path)
+		fresh = true
+		stop()
+		<-ended
+		if _, err := os.Stat(f.Path); err != nil || asked != 3 {
+			t.Errorf("at the end: asked %d times, %v", asked, err)
+		}
+		ctx, stop = context.WithCancel(t.Context())
+		fresh = true
+		stop()
+		Keep(ctx, File{Path: "/nowhere/at/all"}, time.Second, know, slog.New(slog.DiscardHandler))
+	})
+}
--- /dev/null
+++ b/internal/upstream/http/probe.go
@@ -0,0 +1,103 @@
+package http
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"ryeweir/internal/pool"
+	"ryeweir/internal/probe"
+	"ryeweir/logic"
+)
+
+// maxReport is the most that a probe's answer may hold.
+const maxReport = 4 << 10
+
+// The texts of the platform's two calls.
+var probeText = [...]string{
+	probe.Load:   "GET /status/load HTTP/1.1\r\nHost: " + probeHost + "\r\n\r\n",
+	probe.Health: "GET /health HTTP/1.1\r\nHost: " + probeHost + "\r\n\r\n",
+}
+
+const probeHost = "origin.svc"
+
+// Ask makes a probe on a connection that attempts can spare. It implements probe.Asker. A server that was closing a kept
+// connection as the probe went out is asked once more on another, as that says nothing of it.
+func (u *Upstream) Ask(ctx context.Context, target any, kind probe.Kind, until time.Time) probe.Answer {
+	node, _ := target.(*pool.Node)
+	for again := false; ; again = true {
+		out := probe.Answer{Result: logic.NotSent, Report: logic.NoReport}
+		if node == nil {
+			return out
+		}
+		c, err := u.Pool.GetSpare(ctx, node, until)
+		switch {
+		case errors.Is(err, pool.ErrNotReady) || errors.Is(err, pool.ErrNoRoom) || errors.Is(err, pool.ErrLate):
+			return out
+		case err != nil:
+			out.Result = logic.ConnectFailed
+			return out
+		case !u.Pool.TakesNew(node): // it may have begun to drain during a handshake
+			u.Pool.Put(c, pool.Unused)
+			return out
+		}
+		stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Now()) })
+		how := u.probeOn(c, kind, until, &out)
+		if !stop() && how == pool.InOrder {
+			how = pool.Over // its deadline may be set at any time
+		}
+		u.Pool.Put(c, how)
+		if how != pool.Crossed || again {
+			return out
+		}
+	}
+}
+
+// probeOn writes the call and reads its answer, and says how that leaves the connection.
+func (u *Upstream) probeOn(c *pool.Conn, kind probe.Kind, until time.Time, out *probe.Answer) pool.How {
+	s := c.State.(*state)
+	s.left.N = maxHead
+	s.timed.latest, s.timed.limit = time.Time{}, func(time.Time) time.Time { return until }
+	fail := func(err error) pool.How {
+		out.Result = broken(err)
+		if !c.Fresh() && s.timed.latest.IsZero() && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errSpoilt) {
+			return pool.Crossed
+		}
+		return pool.Broken
+	}
+	if err := c.SetWriteDeadline(until); err != nil {
+		return fail(err)
+	}
+	if _, err := io.WriteString(c, probeText[kind]); err != nil {
+		return fail(err)
+	}
+	resp, err := s.readHead()
+	if err != nil {
+		return fail(err)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReport+1))
+	if err != nil {
+		return fail(err)
+	}
+	switch {
+	case resp.StatusCode == http.StatusNotFound:
+		out.Result, out.Absent = logic.Failed, true
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		out.Result = logic.Rejected
+	case resp.StatusCode != http.StatusOK:
+		out.Result = logic.Failed
+	default:
+		out.Result = logic.OK
+		if text := strings.TrimSpace(string(body)); kind == probe.Load && text != "" {
+			out.Report = u.readReport([]string{text})
+		}
+	}
+	if len(body) > maxReport || s.reader.Buffered() > 0 {
+		return pool.Broken
+	}
+	return left(resp, nil)
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -37,6 +37,12 @@
 	return site, err
 }
 
+// What probes may cost where the settings allow them at all.
+const (
+	ProbeShare   = 0.02 // for each request of a balancer
+	ServerProbes = 4    // a second, for each server
+)
+
 // bootInfo is the start-up object of an instance, as far as there is a use for it.
 type bootInfo struct {
 	Balancers int
@@ -46,11 +52,11 @@
 		Worth                       float64
 	}
 	Ceilings struct {
-		ParallelTries, RetryAfter bool
-		MaxRetryAfterNs           int64
-		ConnectTimeoutNs          int64
-		ConnIdleNs                int64
-		MostTries, MostHeld       int
+		ParallelTries, RetryAfter, Probes bool
+		MaxRetryAfterNs                   int64
+		ConnectTimeoutNs                  int64
+		ConnIdleNs                        int64
+		MostTries, MostHeld               int
 	}
 	Discovery string
 	Domain    struct{ WarmKeys bool }
@@ -98,6 +104,9 @@
 	for _, t := range b.Tenants {
 		s.Shares = append(s.Shares, t.Portion)
 	}
+	if b.Ceilings.Probes {
+		s.ProbeShare, s.ServerProbes = ProbeShare, ServerProbes
+	}
 	if b.Ceilings.RetryAfter {
 		s.MaxRetryAfter = time.Duration(b.Ceilings.MaxRetryAfterNs)
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -20,6 +20,7 @@
 const (
 	IdleLimit      = 10 * time.Second       // nodes close connections that are idle for so long
 	ConnectTimeout = 100 * time.Millisecond // a connection that is not up by then has failed
+	ProbeTimeout   = 120 * time.Millisecond // a probe that has no answer by then has failed
 	drainSlack     = 100 * time.Millisecond // for the way through relays under load, in the rule on drains
 )
 
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -13,12 +13,14 @@
 	}
 	r := &request{Request: e, class: &b.set.Classes[e.Class]}
 	b.requests[e.ID] = r
-	b.budget = min(b.budget+retryShare, retrySaved)
+	b.budget = min(b.budget+retryShare, b.mostSaved())
+	b.probes = min(b.probes+b.set.ProbeShare, probesSaved)
 	if r.Partial {
 		r.Deadline = math.MaxInt64
 	} else {
 		b.limit(r)
 	}
+	b.setShed(0) // a look at each tick would swing between all and nothing
 	// In a jam all cheap work may be refused, but an idle server must not wait for its trial till the end.
 	if b.refused(b.worthOf(r)) && b.trial(r) == nil {
 		b.finish(r)
@@ -68,11 +70,13 @@
 }
 
 // setShed sets the shed level by the mean of time taken over aim. What answers say of it counts as far as
-// servers report that they are busy: else one slow server, or chance at a quiet balancer, passes for a jam.
-// By Little's law the mean is also what is in flight, each by one over its aim, over the rate of sends: there
-// a jam shows sooner, but the few in flight at a quiet balancer bunch by chance and count for less. Where
-// servers report little use, what stays in flight hangs somewhere: refusing others would not help it, and as
-// sends fall with each refusal the same few in flight would seem an ever worse jam.
+// servers report that they are busy: else one slow server, or chance at a quiet balancer, passes for a
+// jam. By Little's law the mean is also what is in flight, each by one over its aim, over the rate of
+// answers: there a jam shows sooner, with each request, but the few in flight at a quiet balancer bunch
+// by chance and count for less. Where servers report little use, what stays in flight hangs somewhere:
+// refusing others would not help it, and as answers fall with each refusal the same few in flight would
+// seem an ever worse jam. The more attempts servers turn away, the earlier refusals begin: that is their
+// own word, and one that stays full for long becomes slow for longer.
 func (b *Balancer) setShed(passed float64) {
 	b.weigh() // who is ejected has just changed
 	var wait, age, busy, known, out float64
@@ -98,17 +102,33 @@
 	for i := range b.asked {
 		b.asked[i] *= keep
 	}
-	little := wait * b.span / (b.sent + 1) * (1 - 1/math.Sqrt(max(out, 1)))
+	little := wait * b.span / (b.sent + 1) * (1 - 1/math.Sqrt(max(out, 1))) * b.sent / (b.sent + fewAnswers)
+	// The rate lags behind traffic that rises or comes in a burst, which is no jam: but then all is young.
+	little = min(little, youngTimes*age/max(out, 1))
 	if known == 0 {
-		busy, known = 1, 1
-		// The rate lags behind traffic that rises, which no report tells from a jam: but then all is young.
-		little = min(little, youngTimes*age/max(out, 1))
+		busy, known = b.provenBusy(), 1
 	}
 	busy /= known
 	b.busy = busy
 	part := min(1, max(0, (busy-busyFrom)/(busyFull-busyFrom)))
 	jam := min(1, max(0, (busy-idleTo)/(busyFrom-idleTo)))
-	b.shed = shedSlope * max(0, part*(b.late-shedFrom), jam*(little-shedFrom))
+	from := max(shedLeast, shedFrom-fullTimes*b.full)
+	b.suspect = max(0, b.late-shedFrom, little-shedFrom)
+	b.shed = shedSlope * max(0, part*(b.late-from), jam*(little-from))
+}
+
+// provenBusy is how busy the servers are, as far as probes have not shown that they have room.
+func (b *Balancer) provenBusy() float64 {
+	busy, all := 0.0, 0.0
+	for _, s := range b.servers {
+		if s.State == Ready && !b.ejected(s) {
+			busy, all = busy+(1-b.sureOfUse(s)*(1-s.used))*s.capacity, all+s.capacity
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return busy / all
 }
 
 // lateness takes a sample of time taken over aim.
--- a/logic/api.go
+++ b/logic/api.go
@@ -59,6 +59,8 @@
 	ColdFor        time.Duration // and has all of it after this time at the latest
 	Shares         []float64     // of the service, one for each tenant; may be empty
 	OverShareWorth float64       // what a request over its tenant's share is worth, as a part of its worth
+	ProbeShare     float64       // probes that may be sent, for each request; 0: none
+	ServerProbes   float64       // that a server gets at most in a second from all balancers together
 	Overload       float64       // a cold server topples at this multiple of its capacity; 0 if not known
 }
 
@@ -271,6 +273,8 @@
 		if r := b.requests[e.Request]; r != nil {
 			b.close(r)
 		}
+	case Probed:
+		b.probed(e)
 	case TimerFired:
 		b.fired(e.Token)
 	}
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -73,7 +73,6 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.inFlight = append(s.inFlight, a)
-	b.sent++
 	b.act(Action{Kind: Send, Request: r.ID, Server: s.ID})
 }
 
@@ -94,7 +93,7 @@
 		}
 	}
 	for _, r := range late {
-		if b.budget < retrySaved/2 {
+		if b.budget < b.mostSaved()/2 {
 			return
 		}
 		if s := b.pick(r); s != nil && !r.tried(s) {
@@ -154,3 +153,9 @@
 		delete(b.requests, r.ID)
 	}
 }
+
+// mostSaved is how many further attempts may be saved up. Those of all balancers come at once when
+// something breaks for all of them, so that in a large fleet each saves less.
+func (b *Balancer) mostSaved() float64 {
+	return max(1, min(retrySaved, retrySaved*usualFleet/float64(b.set.Balancers)))
+}
--- a/logic/capacity.go
+++ b/logic/capacity.go
@@ -25,26 +25,50 @@
 	}
 }
 
-// ownRate is the estimate where no server reports: by Little's law the own served rate over the own mean in
-// flight is one over the mean time to an answer.
+// ownRate learns from an own answer where no server reports by itself: by Little's law the own served
+// rate over the own mean in flight is one over the mean time to an answer.
 func (b *Balancer) ownRate(s *server, took time.Duration) {
 	if b.reports || took <= 0 {
 		return
 	}
-	if s.took == 0 {
-		s.took = took.Seconds()
+	s.known++
+	s.took += max(learn, 1/s.known) * (took.Seconds() - s.took)
+	s.rate, s.trust = 1/s.took, s.known/(s.known+prior)
+}
+
+// forget lets what is known of a server age.
+func (b *Balancer) forget(s *server, passed float64) {
+	if b.reports {
+		s.trust *= math.Exp(-passed / ticks / reportTime)
+		return
 	}
-	s.took += learn * (took.Seconds() - s.took)
-	s.rate, s.trust = 1/s.took, 1
+	s.known *= math.Exp(-passed / ticks / knownTime)
+	s.trust = s.known / (s.known + prior)
 }
 
-// weigh sets every server's weight for a request: its capacity at present. The older the last report, the
-// more the mean of the others counts, for the server's size in the list: else one that once looked slow would
-// get nothing to show better with, and stand idle.
+// doubt is the part of a server's capacity that rests on the mean of the others: 1 where nothing is known
+// of it.
+func (b *Balancer) doubt(s *server) float64 { return prior / (prior + s.known + b.polledCount(s)) }
+
+// polledCount is what the capacity that a server reported says, in own answers that say as much.
+func (b *Balancer) polledCount(s *server) float64 {
+	if s.polledAt == 0 {
+		return 0
+	}
+	return polledWeight / b.polledVar(s)
+}
+
+// weigh sets every server's weight for a request: its capacity at present. What is known of it by own
+// answers and by reports counts by how much each says, and the mean of the others, for the server's size
+// in the list, counts as some answers more: else one that once looked slow would get nothing to show
+// better with, and stand idle, and a quiet balancer would lean on chance.
 func (b *Balancer) weigh() {
-	rate, size := 0.0, 0.0
+	rate, size, polled, told := 0.0, 0.0, 0.0, 0.0
 	for _, s := range b.servers {
 		rate, size = rate+s.rate*s.trust, size+s.Weight*s.trust
+		if n := b.polledCount(s); n > 0 {
+			polled, told = polled+n*s.polled, told+n
+		}
 	}
 	mean := 1.0
 	if size > 0 {
@@ -54,6 +78,9 @@
 	for _, s := range b.servers {
 		usual, warm := mean*s.Weight, s.coldShare(b)
 		s.capacity = usual + (s.rate-usual)*s.trust
+		if n := b.polledCount(s); n > 0 {
+			s.capacity += (usual*math.Exp(s.polled-polled/told) - s.capacity) * n / (n + s.known + prior)
+		}
 		s.weight = s.capacity * warm * (1 - s.failing)
 		if s.State != Ready {
 			continue
--- a/logic/draw.go
+++ b/logic/draw.go
@@ -28,7 +28,7 @@
 	}
 	if cold != nil {
 		drawn[0] = cold
-	} else if b.set.WarmKeys && r.Key != "" {
+	} else if b.set.WarmKeys && r.Key != "" && b.rng.Float64()*float64(b.set.Balancers) < usualFleet {
 		drawn[0] = home(ok, r.Key)
 		drawn[0].weight *= warmTimes
 	}
@@ -75,10 +75,12 @@
 	return best
 }
 
+// hash is a number that any change of the text changes all over: the high bits of FNV alone hardly change
+// with the last letter, so that an order by it would favour some servers at all balancers.
 func hash(text string) uint64 {
 	h := fnv.New64a()
 	io.WriteString(h, text)
-	return h.Sum64()
+	return rand.NewPCG(h.Sum64(), 0).Uint64()
 }
 
 // load is what the server would bear for its capacity with one request more.
--- a/logic/health.go
+++ b/logic/health.go
@@ -1,8 +1,6 @@
 package logic
 
-import (
-	"math"
-)
+import "slices"
 
 // Health: outlier ejection and readmission.
 
@@ -26,10 +24,21 @@
 // idle, so they lower its weight; only answers count as rate.
 func (b *Balancer) judge(a *attempt, o Outcome) {
 	s, bad := a.srv, 0.0
+	// A request that comes back to a server which has just turned it away hears nothing new.
+	news := o.Result != Rejected || !a.req.rejectedBefore(a)
+	if news && (o.Result == OK || o.Result == Rejected || o.Result == TimedOut || o.Result == Failed) {
+		turned := 0.0
+		if o.Result == Rejected {
+			turned = 1
+		}
+		b.outcomes = min(b.outcomes+1, 1/fullWeight)
+		b.full += (turned - b.full) / (b.outcomes + fullPrior)
+	}
 	switch o.Result {
 	case OK:
 		b.usual[a.req.Class] += learn * (float64(o.Took) - b.usual[a.req.Class])
 		s.heard = b.now
+		b.sent++
 		b.ownRate(s, o.Took)
 		b.lateness(float64(o.Took) / float64(a.req.class.Aim))
 	case TimedOut:
@@ -39,7 +48,7 @@
 		}
 		bad = 1
 	case Failed, Rejected, ConnectFailed, Reset:
-		if o.Result == Rejected {
+		if o.Result == Rejected && news {
 			b.lateness(1)
 		}
 		bad = 1
@@ -56,6 +65,13 @@
 	}
 }
 
+// rejectedBefore reports whether an earlier attempt of the request was turned away by the server of this one.
+func (r *request) rejectedBefore(a *attempt) bool {
+	return slices.ContainsFunc(r.attempts, func(other *attempt) bool {
+		return other != a && other.srv == a.srv && !other.out && other.neverRan
+	})
+}
+
 // eject keeps a server out of the draws for a horizon; then one request to spare tries it.
 func (b *Balancer) eject(s *server) { s.until, s.trial = b.now+b.horizon, false }
 
@@ -77,7 +93,7 @@
 		if (s.until == 0 || s.trial) && b.missed(s) > missedMost {
 			b.eject(s)
 		}
-		s.trust *= math.Exp(-passed / ticks / reportTime)
+		b.forget(s, passed)
 	}
 }
 
@@ -87,7 +103,7 @@
 		return nil
 	}
 	for _, s := range b.servers {
-		if s.until > 0 && b.now >= s.until && !s.trial && s.coldShare(b) == 1 && b.maySend(r, s) {
+		if s.until > 0 && b.now >= s.until && !s.trial && !s.probing && s.coldShare(b) == 1 && b.maySend(r, s) {
 			return s
 		}
 	}
--- a/logic/members.go
+++ b/logic/members.go
@@ -16,24 +16,32 @@
 	named := make(map[string]bool, len(l.Servers))
 	for _, e := range l.Servers {
 		named[e.ID] = true
-		s := b.byID[e.ID]
+		s, known := b.byID[e.ID], true
 		if s == nil {
+			known = false
 			s = &server{heard: b.now, rank: hash(strconv.Itoa(b.set.Me) + " " + e.ID)}
+			if b.probing() { // all balancers learn of a new server at the same time
+				s.nextProbe = b.now + seconds(b.gap()*b.rng.Float64())
+			}
 			b.byID[e.ID] = s
 			b.servers = append(b.servers, s)
 		} else if e.Started != s.Started {
 			// A restarted process is cold and well: what an earlier life showed says nothing of it.
-			*s = server{inFlight: s.inFlight, heard: b.now, rank: s.rank}
+			*s = server{inFlight: s.inFlight, heard: b.now, rank: s.rank, probing: s.probing, nextProbe: s.nextProbe}
 		}
 		s.Server = e
 		if !b.set.ListWeights || e.Weight <= 0 {
 			s.Weight = 1
 		}
+		if !known {
+			b.recall(s)
+		}
 	}
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
 		gone := s.State == Gone || l.Full && !named[s.ID]
 		if gone {
-			s.State = Gone // attempts in flight still hold it
+			b.keep(b.knowledgeOf(s), b.now) // it may come back: a list can be wrong
+			s.State = Gone                  // attempts in flight still hold it
 			delete(b.byID, s.ID)
 		}
 		return gone
--- a/logic/state.go
+++ b/logic/state.go
@@ -15,22 +15,23 @@
 	ticked   time.Duration // the latest tick
 	servers  []*server     // those of the list, in the order it first named them
 	byID     map[string]*server
-	requests map[string]*request // open, or with attempts in flight
-	open     deadlines           // requests that have a deadline and have not ended
-	armed    time.Duration       // what the latest timer for them is set for; 0 when none is
-	arms     uint64              // such timers so far
-	subset   int                 // how many of the servers get its requests, at least
-	crowd    int                 // how many own attempts in flight want
-	horizon  time.Duration       // the longest aim: how far back averages over time look
-	usual    []float64           // mean time to an answer, a class each
-	budget   float64             // further attempts that may be made
-	tries    int                 // subscriptions that failed in a row
-	asking   bool                // a timer to ask again is set
-	trialBy  Effect              // the least harmful effect among the classes
-	late     float64             // mean time taken over aim
-	sent     float64             // own sends of the last shareTime horizons
-	span     float64             // and the seconds that they took
-	asked    []float64           // requests lately, a tenant each
+	kept     map[string]recollection // of servers that are not listed
+	requests map[string]*request     // open, or with attempts in flight
+	open     deadlines               // requests that have a deadline and have not ended
+	armed    time.Duration           // what the latest timer for them is set for; 0 when none is
+	arms     uint64                  // such timers so far
+	subset   int                     // how many of the servers get its requests, at least
+	crowd    int                     // how many own attempts in flight want
+	horizon  time.Duration           // the longest aim: how far back averages over time look
+	usual    []float64               // mean time to an answer, a class each
+	budget   float64                 // further attempts that may be made
+	tries    int                     // subscriptions that failed in a row
+	asking   bool                    // a timer to ask again is set
+	trialBy  Effect                  // the least harmful effect among the classes
+	late     float64                 // mean time taken over aim
+	sent     float64                 // own answers of the last shareTime horizons
+	span     float64                 // and the seconds that they took
+	asked    []float64               // requests lately, a tenant each
 	askedAll float64
 	reports  bool    // some server has reported its load
 	busy     float64 // use of the servers, as they report it
@@ -39,26 +40,38 @@
 	total    float64 // and at present
 	well     float64 // and of those that are not ejected
 	worth    float64 // mean worth of a request lately
+	probes   float64 // that may be sent
+	full     float64 // share of attempts lately that were turned away as full
+	outcomes float64 // of which that is the share, up to a bound
+	suspect  float64 // what looks like a jam: time taken over aim, above what is usual
 }
 
 // server is all that is known of one server.
 type server struct {
 	Server
-	inFlight []*attempt    // own, oldest first
-	took     float64       // own mean time to an answer in seconds, kept while no server reports
-	rate     float64       // capacity in requests a second; 0 without an estimate
-	trust    float64       // in the estimate: 1 after a report, less with time
-	capacity float64       // the estimate, or the mean of the others where that is old
-	done     float64       // reported requests a second, smoothed
-	util     float64       // reported use, smoothed
-	busy     float64       // and as last reported
-	reported time.Duration // the latest report
-	heard    time.Duration // the latest sign of life or, if later, the first send that waits for one
-	failing  float64       // share of failures among the latest outcomes
-	until    time.Duration // ejected to then; 0 when not
-	trial    bool          // one trial is under way
-	weight   float64       // capacity at present, for the request at hand
-	rank     uint64        // of the balancer's own order of the servers
+	inFlight  []*attempt    // own, oldest first
+	took      float64       // own mean time to an answer in seconds, kept while no server reports
+	rate      float64       // capacity in requests a second; 0 without an estimate
+	trust     float64       // in the estimate: 1 after a report, less with time
+	capacity  float64       // the estimate, or the mean of the others where that is old
+	known     float64       // own answers that took is the mean of, fewer with time
+	used      float64       // share of its cores' time in use, as probes told
+	usedAt    time.Duration // when the latest told; 0: never
+	polled    float64       // logarithm of the capacity that probes told
+	polledVar float64       // and its variance then
+	polledAt  time.Duration
+	probing   bool          // a probe is under way
+	nextProbe time.Duration // the earliest time of the next
+	done      float64       // reported requests a second, smoothed
+	util      float64       // reported use, smoothed
+	busy      float64       // and as last reported
+	reported  time.Duration // the latest report
+	heard     time.Duration // the latest sign of life or, if later, the first send that waits for one
+	failing   float64       // share of failures among the latest outcomes
+	until     time.Duration // ejected to then; 0 when not
+	trial     bool          // one trial is under way
+	weight    float64       // capacity at present, for the request at hand
+	rank      uint64        // of the balancer's own order of the servers
 }
 
 type request struct {
