--- a/cmd/ryeweir/lab.go
+++ b/cmd/ryeweir/lab.go
@@ -32,15 +32,16 @@
 }
 
 func experimentCommand() *cobra.Command {
-	var dir string
+	var dir, against string
 	c := &cobra.Command{
 		Use:   "experiment FILE",
 		Short: "Play days with one or more arms, repeated and paired, and report how they differ",
 		Long: "Plays each day of FILE with each arm, repeated with other seeds; equal repeats of all arms get the same arrivals and\n" +
 			"troubles. The folder gets report.html, figures.json and plots. An interrupted run leaves what was finished. The\n" +
 			"exit code is 1 if a rule broke or a run could not be played.",
-		Example: "  ryeweir experiment deploy/experiments/arms.toml -o /tmp/arms",
-		Args:    cobra.ExactArgs(1),
+		Example: "  ryeweir experiment deploy/experiments/arms.toml -o /tmp/arms\n" +
+			"  ryeweir experiment deploy/experiments/many-days.toml -o /tmp/after --against /tmp/before",
+		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			if dir == "" {
 				return usage(errors.New("-o DIR says where the report goes"))
@@ -55,14 +56,18 @@
 			}
 			ctx, stop := interruptible(c.Context())
 			defer stop()
-			f, err := lab.Run(ctx, &spec, self, dir, c.OutOrStdout())
+			f, err := lab.Run(ctx, &spec, self, dir, against, c.OutOrStdout())
 			if err != nil {
 				return err
 			}
 			out := c.OutOrStdout()
 			for _, r := range f.Rows {
-				fmt.Fprintf(out, "%-12s %-12s service %.3f (%.3f to %.3f)  worst 10 s %.3f  p50 %.1f ms  p99 %.0f ms\n", r.Day, r.Arm, r.Service.Mean,
+				fmt.Fprintf(out, "%-12s %-12s service %.3f (%.3f to %.3f)  worst 10 s %.3f  p50 %.1f ms  p99 %.0f ms", r.Day, r.Arm, r.Service.Mean,
 					r.Service.Low, r.Service.High, r.Worst, r.P50, r.P99)
+				if f.Simulated {
+					fmt.Fprintf(out, "  refused with room %.4f  into a jam %.4f  probes %.3f", r.Falsely, r.IntoJam, r.Probes)
+				}
+				fmt.Fprintln(out)
 			}
 			for _, d := range f.Differences {
 				if d.Figure == "service" {
@@ -78,6 +83,7 @@
 		},
 	}
 	c.Flags().StringVarP(&dir, "output", "o", "", "the folder for the report")
+	c.Flags().StringVar(&against, "against", "", "the folder of another play of FILE, as by an earlier program, to compare with")
 	return c
 }
 
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -24,8 +24,11 @@
 	Rows        []Row        `json:"rows"`
 	Differences []Difference `json:"differences"`
 	Outcomes    []Outcome    `json:"outcomes"`
+	Against     string       `json:"against,omitempty"`  // the folder of the play that it is compared with
 	Failures    []string     `json:"failures,omitempty"` // runs that could not be played
 	Unfinished  bool         `json:"unfinished,omitempty"`
+
+	before []Outcome // of that play
 }
 
 // Held reports whether the rules held in all runs with an agent.
@@ -38,12 +41,33 @@
 	return true
 }
 
+// readOutcomes reads what another play of an experiment left in its folder.
+func readOutcomes(dir string) ([]Outcome, error) {
+	text, err := os.ReadFile(filepath.Join(dir, "figures.json"))
+	if err != nil {
+		return nil, fmt.Errorf("the play to compare with: %w", err)
+	}
+	var f Findings
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("the play to compare with: %s: %w", dir, err)
+	}
+	return f.Outcomes, nil
+}
+
 // Run plays an experiment: each day with each arm, repeated, paired by seed: equal repeats of all arms get the same
 // arrivals, work and troubles. What is finished is written to the folder as it comes, so that an interrupted run, a full
-// disk or a run that fails leaves it. Progress goes to out, a line a run.
-func Run(ctx context.Context, spec *Spec, self, dir string, out io.Writer) (Findings, error) {
+// disk or a run that fails leaves it. Progress goes to out, a line a run. With against, the folder of another play of the same
+// days, as by an earlier program, each arm is compared with itself there, too.
+func Run(ctx context.Context, spec *Spec, self, dir, against string, out io.Writer) (Findings, error) {
 	f := Findings{Name: spec.Name, Question: spec.Question, Simulated: spec.Simulated, Began: time.Now().UTC(),
 		Planned: spec.Repeats * len(spec.Arms) * len(spec.Days)}
+	if against != "" {
+		var err error
+		if f.before, err = readOutcomes(against); err != nil { // before it is overwritten, where it is the same folder
+			return f, err
+		}
+		f.Against = against
+	}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return f, fmt.Errorf("the folder for the report: %w", err)
 	}
@@ -154,6 +178,7 @@
 	if len(spec.Arms) > 1 {
 		f.Differences = differences(f.Outcomes, spec.dayNames(), spec.armNames())
 	}
+	f.Differences = append(f.Differences, differencesFrom(f.before, f.Outcomes, spec.dayNames(), spec.armNames())...)
 	text, err := json.MarshalIndent(f, "", " ")
 	if err != nil {
 		return fmt.Errorf("figures: %w", err)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -136,7 +136,7 @@
 
 func TestExperiment(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "out")
-	f, err := Run(t.Context(), readSpec(t, experimentText), "", dir, io.Discard)
+	f, err := Run(t.Context(), readSpec(t, experimentText), "", dir, "", io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -159,7 +159,7 @@
 		t.Error("the report needs other files")
 	}
 	plots, _ := filepath.Glob(filepath.Join(dir, "plots", "*.png"))
-	if len(plots) != 4 {
+	if len(plots) != 5 {
 		t.Errorf("plots %v", plots)
 	}
 	var back Findings
@@ -178,7 +178,7 @@
 			cancel()
 		}
 	})
-	f, err := Run(ctx, readSpec(t, experimentText), "", dir, stop)
+	f, err := Run(ctx, readSpec(t, experimentText), "", dir, "", stop)
 	if err != nil || !f.Unfinished || len(f.Outcomes) != 2 {
 		t.Errorf("%d outcomes, unfinished %v, %v", len(f.Outcomes), f.Unfinished, err)
 	}
@@ -189,7 +189,7 @@
 	if err := os.WriteFile(file, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if f, err := Run(t.Context(), readSpec(t, experimentText), "", file, io.Discard); err == nil || len(f.Outcomes) > 0 {
+	if f, err := Run(t.Context(), readSpec(t, experimentText), "", file, "", io.Discard); err == nil || len(f.Outcomes) > 0 {
 		t.Errorf("%d runs into a file, %v", len(f.Outcomes), err)
 	}
 	// A binary that is none fails its runs and not the others.
@@ -197,7 +197,7 @@
 	s.Repeats = 1
 	s.Days[0].Length = config.Duration(time.Second)
 	s.Days[0].Troubles = nil
-	f, err = Run(t.Context(), s, "", t.TempDir(), io.Discard)
+	f, err = Run(t.Context(), s, "", t.TempDir(), "", io.Discard)
 	if err != nil || len(f.Outcomes) != 1 || len(f.Failures) != 1 || !strings.Contains(f.Failures[0], "no such file") {
 		t.Errorf("%d outcomes, failures %v, %v", len(f.Outcomes), f.Failures, err)
 	}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -66,6 +66,11 @@
 			figures = append(figures, figure{p.name, p.plot.Title.Text, svg})
 		}
 	}
+	if svg, err := drawn(acrossDays(f.Rows, spec.dayNames(), spec.armNames()), filepath.Join(dir, "plots", "days.png")); err != nil {
+		errs = append(errs, err)
+	} else {
+		figures = append([]figure{{Name: "days", SVG: svg}}, figures...)
+	}
 	page, err := template.New("report").Funcs(template.FuncMap{
 		"f3": func(x float64) string { return fmt.Sprintf("%.3f", x) },
 		"f1": func(x float64) string { return fmt.Sprintf("%.1f", x) },
@@ -96,6 +101,45 @@
 	plot *plot.Plot
 }
 
+// acrossDays is the service of each arm on each day, with its interval.
+func acrossDays(rows []Row, days, arms []string) *plot.Plot {
+	p := newPlot("service by day, with 95% intervals", "share of worth")
+	p.X.Label.Text = ""
+	p.Legend.Top = false
+	for i, arm := range arms {
+		var at intervals
+		for d, day := range days {
+			for _, r := range rows {
+				if r.Day == day && r.Arm == arm {
+					at.XYs = append(at.XYs, plotter.XY{X: float64(d) + 0.04*float64(i), Y: r.Service.Mean})
+					at.YErrors = append(at.YErrors, struct{ Low, High float64 }{r.Service.Mean - r.Service.Low, r.Service.High - r.Service.Mean})
+				}
+			}
+		}
+		line, points, err := plotter.NewLinePoints(at.XYs)
+		if err != nil || len(at.XYs) == 0 {
+			continue
+		}
+		line.Color, points.Color = palette()[i%len(palette())], palette()[i%len(palette())]
+		p.Add(line, points)
+		if bars, err := plotter.NewYErrorBars(at); err == nil {
+			bars.Color = line.Color
+			p.Add(bars)
+		}
+		p.Legend.Add(arm, line)
+	}
+	p.NominalX(days...)
+	p.X.Tick.Label.Font.Size = vg.Points(7)
+	p.X.Max = float64(len(days)-1) * legendRoom
+	return p
+}
+
+// intervals are points with their intervals.
+type intervals struct {
+	plotter.XYs
+	plotter.YErrors
+}
+
 // dayPlots are service and latency over time for each arm, and each arm's load per node, of one day.
 func dayPlots(day string, outcomes map[string]Outcome, arms []string) []named {
 	service, latency := newPlot(day+": service, by the second asked in", "share of worth"), newPlot(day+": latency, p50 and p99 (dashed)", "ms")
--- a/internal/lab/statistics.go
+++ b/internal/lab/statistics.go
@@ -87,29 +87,66 @@
 	{"p99_ms", func(o Outcome) float64 { return o.Latency["all"].P99 }},
 	{"attempts_per_request", func(o Outcome) float64 { return o.Attempts }},
 	{"waste", func(o Outcome) float64 { return o.Waste }},
+	{"probes_per_request", Outcome.probesEach},
+	{"refused_with_room", Outcome.falselyRefused},
+}
+
+func (o Outcome) probesEach() float64 { return float64(o.Probes) / max(1, float64(o.Account.Requests)) }
+
+// falselyRefused is the share of all requests that were refused unsent while a node that their agent knew had a core free; 0
+// where the truth is not known.
+func (o Outcome) falselyRefused() float64 {
+	if o.Truths == nil {
+		return 0
+	}
+	return float64(o.Truths.RefusedRoom) / max(1, float64(o.Account.Requests))
+}
+
+// intoJam is the share of attempts that came to a node which had to turn them away or held work for longer than their aim.
+func (o Outcome) intoJam() float64 {
+	if o.Truths == nil {
+		return 0
+	}
+	return float64(o.Truths.SentIntoJam) / max(1, float64(o.Truths.Sent))
 }
 
 // differences compares every arm with the first, day by day, in pairs of one seed.
 func differences(outcomes []Outcome, days, arms []string) (out []Difference) {
 	for _, day := range days {
-		base := bySeed(outcomes, day, arms[0])
 		for _, arm := range arms[1:] {
-			other := bySeed(outcomes, day, arm)
-			for _, f := range compared {
-				var diffs []float64
-				for seed, a := range base {
-					if b, ok := other[seed]; ok {
-						diffs = append(diffs, f.of(b)-f.of(a))
-					}
-				}
-				if len(diffs) == 0 {
-					continue
-				}
-				slices.Sort(diffs) // the order of a map must not change the interval
-				i := bootstrap(diffs)
-				out = append(out, Difference{Day: day, Arm: arm, Than: arms[0], Figure: f.name, Interval: i, Verdict: verdict(i)})
+			out = append(out, paired(bySeed(outcomes, day, arms[0]), bySeed(outcomes, day, arm), Difference{Day: day, Arm: arm, Than: arms[0]})...)
+		}
+	}
+	return out
+}
+
+// differencesFrom compares each arm with itself in the outcomes of another play of the same days and seeds, as by an earlier
+// program.
+func differencesFrom(before, outcomes []Outcome, days, arms []string) (out []Difference) {
+	for _, day := range days {
+		for _, arm := range arms {
+			out = append(out, paired(bySeed(before, day, arm), bySeed(outcomes, day, arm), Difference{Day: day, Arm: arm, Than: arm + " before"})...)
+		}
+	}
+	return out
+}
+
+// paired compares two arms of a day by all figures, seed by seed.
+func paired(base, other map[uint64]Outcome, d Difference) (out []Difference) {
+	for _, f := range compared {
+		var diffs []float64
+		for seed, a := range base {
+			if b, ok := other[seed]; ok {
+				diffs = append(diffs, f.of(b)-f.of(a))
 			}
 		}
+		if len(diffs) == 0 {
+			continue
+		}
+		slices.Sort(diffs) // the order of a map must not change the interval
+		d.Figure, d.Interval = f.name, bootstrap(diffs)
+		d.Verdict = verdict(d.Interval)
+		out = append(out, d)
 	}
 	return out
 }
@@ -138,6 +175,11 @@
 	Attempts float64  `json:"attempts_per_request"`
 	Waste    float64  `json:"waste"`
 	CPU      float64  `json:"agent_cpu_us_per_request"`
+	Probes   float64  `json:"probes_per_request"`
+	Probing  float64  `json:"probe_work"`        // as a share of what the nodes could do
+	Lists    float64  `json:"list_calls"`        // of all agents
+	Falsely  float64  `json:"refused_with_room"` // requests refused unsent while a node had a core free, of all
+	IntoJam  float64  `json:"sent_into_jam"`     // of the attempts that came to a node
 }
 
 // rows sums up each arm on each day.
@@ -156,13 +198,15 @@
 				r.Worst, r.Goal = r.Worst+o.WorstWindow, r.Goal+o.Goal
 				r.P50, r.P99 = r.P50+o.Latency["all"].P50, r.P99+o.Latency["all"].P99
 				r.Attempts, r.Waste, r.CPU = r.Attempts+o.Attempts, r.Waste+o.Waste, r.CPU+o.CPU
+				r.Probes, r.Probing, r.Lists = r.Probes+o.probesEach(), r.Probing+o.ProbeWork, r.Lists+float64(o.ListCalls)
+				r.Falsely, r.IntoJam = r.Falsely+o.falselyRefused(), r.IntoJam+o.intoJam()
 			}
 			if r.Runs == 0 {
 				continue
 			}
 			r.Service = bootstrap(service)
 			n := float64(r.Runs)
-			for _, x := range []*float64{&r.Worst, &r.Goal, &r.P50, &r.P99, &r.Attempts, &r.Waste, &r.CPU} {
+			for _, x := range []*float64{&r.Worst, &r.Goal, &r.P50, &r.P99, &r.Attempts, &r.Waste, &r.CPU, &r.Probes, &r.Probing, &r.Lists, &r.Falsely, &r.IntoJam} {
 				*x /= n
 			}
 			out = append(out, r)
