--- a/cmd/ryeweir/lab.go
+++ b/cmd/ryeweir/lab.go
@@ -128,11 +128,7 @@
 	defer w.Close()
 	out := c.OutOrStdout()
 	for i, name := range day.Agents {
-		listen, err := lab.FreePort()
-		if err != nil {
-			return err
-		}
-		control, err := lab.FreePort()
+		listen, control, err := lab.TwoPorts(i)
 		if err != nil {
 			return err
 		}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -39,10 +39,10 @@
 	usualFleet   = 8 // agents up to which none of this is needed
 	watchEach    = 250 * time.Millisecond
 	longestWatch = 9 * time.Second
-	hugeWatch    = 50 * time.Millisecond // for each agent of a fleet for which that is not enough
-	mostWatch    = 55 * time.Second      // discovery lets a watch wait for a minute
-	rushEach     = 40 * time.Millisecond // between two agents' calls after an outage
-	mostRush     = time.Minute
+	hugeWatch    = 50 * time.Millisecond   // for each agent of a fleet for which that is not enough
+	mostWatch    = 55 * time.Second        // discovery lets a watch wait for a minute
+	rushEach     = 80 * time.Millisecond   // of the time in which all come back after an outage, for each agent
+	mostRush     = 36 * time.Second        // who has not asked again for 40 s after a failed call is held to know all there is
 	queueTimeout = 2200 * time.Millisecond // in place of callTimeout
 )
 
@@ -146,7 +146,7 @@
 	}
 	if cfg.Agents > usualFleet {
 		d.wait = max(min(longestWatch, time.Duration(cfg.Agents)*watchEach), min(mostWatch, time.Duration(cfg.Agents)*hugeWatch))
-		d.timeout, d.spread = queueTimeout, d.wait
+		d.timeout, d.spread = queueTimeout, min(d.wait, longestWatch)
 		d.rush = min(mostRush, time.Duration(cfg.Agents)*rushEach)
 		if len(d.known.Servers) > 0 { // changes are all that is asked for
 			d.version = d.known.Version
@@ -249,7 +249,12 @@
 			d.sink.ListUnavailable()
 			continue
 		}
-		d.pause(ctx, max(2*retryPause<<min(d.fails, mostPauses), d.rush))
+		if pause := 2 * retryPause << min(d.fails, mostPauses); pause >= d.rush {
+			d.pause(ctx, pause)
+		} else {
+			sleep(ctx, d.rush/2)
+			d.pause(ctx, d.rush/2)
+		}
 		d.fails++
 	}
 }
@@ -265,7 +270,7 @@
 	for {
 		before, began := d.version, time.Now()
 		wait := d.wait
-		if d.down { // whether it is back shows soon
+		if d.down && d.wait <= longestWatch { // whether it is back shows soon; in a huge fleet that would double the calls
 			wait = watchWait
 		}
 		query := fmt.Sprintf("?since=%d&timeout_ms=%d", d.version, wait.Milliseconds())
