--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,7 @@
 	fullTimes    = 3.5  // times that share, by which refusals begin earlier
 	shedLeast    = 0.2  // but not below this mean time taken over aim
 	youngTimes   = 3    // mean age of what is in flight that the time to an answer is held to be at the most
-	shedSlope    = 9    // rise of the share refused with that mean
+	shedSlope    = 6    // rise of the share refused with that mean
 	busyFrom     = 0.75 // reported use from which late answers are taken for a sign of a jam
 	busyFull     = 0.95 // and from which they are one for certain
 	idleTo       = 0.5  // reported use up to which what is in flight for long is stuck, not in a jam
