--- a/internal/agent/scripted_test.go
+++ b/internal/agent/scripted_test.go
@@ -1,10 +1,13 @@
 package agent_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -61,6 +64,12 @@
 
 // ask runs an agent that knows one backend, at node:80, and sends it one request.
 func ask(t *testing.T, network *link.Network, method, path string) (status int, body string) {
+	ops := operator.Default()
+	ops.Probes.Share = 0 // the script is for requests
+	return askWith(t, network, ops, slog.New(slog.DiscardHandler), method, path)
+}
+
+func askWith(t *testing.T, network *link.Network, ops operator.File, log *slog.Logger, method, path string) (status int, body string) {
 	spec := usualDay()
 	day, err := spec.Draw(1)
 	if err != nil {
@@ -81,10 +90,8 @@
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
-	ops := operator.Default()
-	ops.Probes.Share = 0 // the script is for requests
 	go func() {
-		ended <- agent.Run(ctx, cfg, ops, agent.Reloads{}, agent.Sockets{Clients: clients, Dial: network.Dialer("agent")}, slog.New(slog.DiscardHandler))
+		ended <- agent.Run(ctx, cfg, ops, agent.Reloads{}, agent.Sockets{Clients: clients, Dial: network.Dialer("agent")}, log)
 	}()
 	defer func() {
 		stop()
@@ -112,3 +119,35 @@
 	}
 	return resp.StatusCode, string(got)
 }
+
+// What an agent has learnt goes on in the next one, and a spoilt file stops nothing.
+func TestLearntGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ops := operator.Default()
+		ops.Probes.Share, ops.Snapshot.Dir = 0, t.TempDir()
+		var logged bytes.Buffer
+		log := slog.New(slog.NewTextHandler(&logged, nil))
+		for run, want := range []string{"", "starting with what was learnt before", "the snapshot is spoilt"} {
+			network := link.NewNetwork(1)
+			l, err := network.Listen("node:80")
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := peer.New(l, []peer.Step{peer.Forever(peer.Request(), peer.Send(peer.OK("fine")))})
+			files, err := filepath.Glob(filepath.Join(ops.Snapshot.Dir, "*"))
+			if err != nil || run > 0 && len(files) != 1 {
+				t.Fatalf("before run %d there are %v, %v", run, files, err)
+			}
+			if run == 2 {
+				if err := os.Truncate(files[0], 20); err != nil {
+					t.Fatal(err)
+				}
+			}
+			logged.Reset()
+			if status, _ := askWith(t, network, ops, log, http.MethodGet, "/price-basket"); status != http.StatusOK || !strings.Contains(logged.String(), want) {
+				t.Errorf("run %d: %d, %s", run, status, logged.String())
+			}
+			p.Close()
+		}
+	})
+}
