--- a/internal/lab/simulate.go
+++ b/internal/lab/simulate.go
@@ -86,12 +86,12 @@
 
 // Truths hold what an agent did against what was true at the time, which only a simulation knows.
 type Truths struct {
-	Refused      int `json:"refused"`       // tries refused without having been sent anywhere
-	RefusedRoom  int `json:"refused_room"`  // of them, while a node that its agent knew to be ready had a core free
-	Sent         int `json:"sent"`          // attempts that came to a node
-	SentIntoJam  int `json:"sent_into_jam"` // of them, to a node that had to turn them away or held work for longer than their aim
-	SentAside    int `json:"sent_aside"`    // of these, while another ready node had a core free
-	ToDeadOrCold int `json:"to_dead"`       // attempts at a node that says nothing
+	Refused     int `json:"refused"`       // tries refused without having been sent anywhere
+	RefusedRoom int `json:"refused_room"`  // of them, while a node that its agent knew to be ready had a core free
+	Sent        int `json:"sent"`          // attempts that came to a node
+	SentIntoJam int `json:"sent_into_jam"` // of them, to a node that had to turn them away or held work for longer than their aim
+	SentAside   int `json:"sent_aside"`    // of these, while another ready node had a core free
+	ToDead      int `json:"to_dead"`       // attempts at a node that says nothing
 }
 
 // idleCore reports whether some node that the list has as ready would begin a request at once.
@@ -111,7 +111,7 @@
 	n := at.node
 	s.truth.Sent++
 	if n.Silent() {
-		s.truth.ToDeadOrCold++
+		s.truth.ToDead++
 		return
 	}
 	if n.Room() && n.Backlog() <= at.try.journey.Class.Aim {
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -161,7 +161,11 @@
 // broke says how an exchange without an answer leaves its connection. On a used one that ended before a byte came, the server
 // was closing it as the request went out.
 func (x *exchange) broke(err error) pool.How {
-	if !x.conn.Fresh() && x.state.timed.latest.IsZero() && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errSpoilt) {
+	return x.state.broke(x.conn, err)
+}
+
+func (s *state) broke(c *pool.Conn, err error) pool.How {
+	if !c.Fresh() && s.timed.latest.IsZero() && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errSpoilt) {
 		return pool.Crossed
 	}
 	return pool.Broken
--- a/internal/upstream/http/probe.go
+++ b/internal/upstream/http/probe.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -64,10 +63,7 @@
 	s.timed.latest, s.timed.limit = time.Time{}, func(time.Time) time.Time { return until }
 	fail := func(err error) pool.How {
 		out.Result = broken(err)
-		if !c.Fresh() && s.timed.latest.IsZero() && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errSpoilt) {
-			return pool.Crossed
-		}
-		return pool.Broken
+		return s.broke(c, err)
 	}
 	if err := c.SetWriteDeadline(until); err != nil {
 		return fail(err)
--- a/logic/capacity.go
+++ b/logic/capacity.go
@@ -55,7 +55,7 @@
 	if s.polledAt == 0 {
 		return 0
 	}
-	return polledWeight / b.polledVar(s)
+	return 1 / b.polledVar(s)
 }
 
 // weigh sets every server's weight for a request: its capacity at present. What is known of it by own
--- a/logic/probe.go
+++ b/logic/probe.go
@@ -57,7 +57,7 @@
 	switch {
 	case s.State != Ready || s.probing || b.now < s.nextProbe || s.coldShare(b) < 1:
 		return 0
-	case s.until > 0 && !s.trial && b.now >= s.until-seconds(2*b.horizon.Seconds()/ticks):
+	case s.until > 0 && !s.trial && b.now >= s.until-2*b.horizon/ticks:
 		return 3
 	case s.until == 0 && b.missed(s) > askMissed:
 		return 4
