--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -85,6 +85,19 @@
 	return nil
 }
 
+// halfWritten is the age from which a file that has not got its name never will: its process was killed as it wrote.
+const halfWritten = time.Minute
+
+// tidy removes what processes left that were killed as they wrote.
+func (f File) tidy(now time.Time) {
+	parts, _ := filepath.Glob(f.Path + ".*") // a pattern that is in order never fails
+	for _, part := range parts {
+		if info, err := os.Lstat(part); err == nil && now.Sub(info.ModTime()) > halfWritten {
+			os.Remove(part)
+		}
+	}
+}
+
 // Load reads the file, and how long ago it was written: at most so long. The error wraps one of the reasons above.
 func (f File) Load(now time.Time, oldest time.Duration) (logic.Knowledge, time.Duration, error) {
 	var none logic.Knowledge
@@ -133,6 +146,7 @@
 // Keep writes what is known at intervals and once more when the context ends, as long as there is something new. Know returns
 // what is known, and false when nothing has changed since it was last asked or nobody can tell any more.
 func Keep(ctx context.Context, f File, every time.Duration, know func() (logic.Knowledge, bool), log *slog.Logger) {
+	f.tidy(time.Now())
 	t := time.NewTicker(every)
 	defer t.Stop()
 	failed := false
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -125,3 +127,58 @@
 		Keep(ctx, File{Path: "/nowhere/at/all"}, time.Second, know, slog.New(slog.DiscardHandler))
 	})
 }
+
+// What processes left that were killed as they wrote goes with the next start, and nothing else does: another process may be
+// writing.
+func TestHalfWrittenFilesGo(t *testing.T) {
+	f := In(t.TempDir(), "n", nil)
+	if err := f.Save(sample(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	long := time.Now().Add(-time.Hour)
+	other := In(filepath.Dir(f.Path), "m", nil).Path + ".77"
+	for _, path := range []string{f.Path + ".1", f.Path + ".2", other} {
+		if err := os.WriteFile(path, []byte("RYW"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(path, long, long); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.Chtimes(f.Path, long, long); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(f.Path+".3", []byte("RYW"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	Keep(ctx, f, time.Hour, func() (logic.Knowledge, bool) { return logic.Knowledge{}, false }, slog.New(slog.DiscardHandler))
+	left, err := filepath.Glob(filepath.Join(filepath.Dir(f.Path), "*"))
+	if want := []string{f.Path, f.Path + ".3", other}; err != nil || !slices.Equal(slices.Sorted(slices.Values(left)), slices.Sorted(slices.Values(want))) {
+		t.Errorf("left are %v, %v", left, err)
+	}
+}
+
+// A file is replaced, never written into: who reads it meanwhile gets the one before, whole.
+func TestReplacedWhole(t *testing.T) {
+	f := In(t.TempDir(), "n", nil)
+	if err := f.Save(sample(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	before, err := os.Open(f.Path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer before.Close()
+	if err := f.Save(logic.Knowledge{}, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	data, err := io.ReadAll(before)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if doc, err := decode(data); err != nil || !reflect.DeepEqual(doc.Knowledge, sample()) {
+		t.Errorf("%+v, %v", doc, err)
+	}
+}
