Close no client's connection on which a request has just begun

Seen by reading: in a drain CloseIdle listed idle connections under the lock and closed them one after the other without it. Ruled out: requests in use, and those that begin before the list is made (TestCloseIdle). At fault: connlimit.go, CloseIdle. Change: a connection is marked under the lock just before it closes, only if it is idle still, and nothing is read from one that is marked, so that its client may send the request again.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -27,10 +27,11 @@
 // Conn is a connection of a Listener, whose lock guards its state.
 type Conn struct {
 	net.Conn
-	table  *Listener
-	use    use
-	served bool      // has brought a request that was in order
-	since  time.Time // when the use began or, while reading, when the latest bytes came
+	table   *Listener
+	use     use
+	served  bool      // has brought a request that was in order
+	retired bool      // is about to close
+	since   time.Time // when the use began or, while reading, when the latest bytes came
 }
 
 // use is what a connection is busy with.
@@ -139,10 +140,20 @@
 	}
 	t.mu.Unlock()
 	for _, c := range old {
-		c.Close()
+		if c.retire() {
+			c.Close()
+		}
 	}
 }
 
+// retire lets nothing be read from a connection that is between requests. One on which a request has begun meanwhile goes on.
+func (c *Conn) retire() bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.retired = c.use == unused
+	return c.retired
+}
+
 // Close closes the listener, not the connections.
 func (t *Listener) Close() error {
 	t.mu.Lock()
@@ -158,6 +169,9 @@
 	if n > 0 {
 		c.table.mu.Lock()
 		defer c.table.mu.Unlock()
+		if c.retired {
+			return 0, net.ErrClosed // a request that is not read is one that its client may send again
+		}
 		if c.use != inUse {
 			c.use, c.since = reading, time.Now()
 		}
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -111,3 +111,45 @@
 		}
 	}
 }
+
+// late is a connection whose Close first lets something happen.
+type late struct {
+	net.Conn
+	before func()
+}
+
+func (l late) Close() error {
+	l.before()
+	return l.Conn.Close()
+}
+
+// A drain closes connections one after the other. A request that begins on one meanwhile goes on; on one that is about to close
+// none is read, so that its client may send it again.
+func TestRequestThatCrossesACloseOfMany(t *testing.T) {
+	table := New(listen(t), 9)
+	first, firstFar := pair(t, table)
+	second, secondFar := pair(t, table)
+	both := map[*Conn]net.Conn{first: firstFar, second: secondFar}
+	closing := 0
+	for c := range both {
+		c.Conn = late{c.Conn, func() {
+			if closing++; closing > 1 {
+				return
+			}
+			for c, far := range both { // now one is about to close, and the other is not yet
+				io.WriteString(far, "G")
+				n, err := c.Read(make([]byte, 1))
+				if retired := c.retired; retired == (n > 0) || retired == (err == nil) {
+					t.Errorf("about to close %v: %d bytes were read, %v", retired, n, err)
+				}
+			}
+		}}
+	}
+	table.CloseIdle(0)
+	if table.Len() != 1 {
+		t.Errorf("%d connections are left", table.Len())
+	}
+	for c := range both {
+		c.Conn = c.Conn.(late).Conn
+	}
+}
