Say of a list of servers that is too long that it is

Seen: of a list over 1 MiB the first MiB was read, which is no JSON: the log named an unexpected end of input and nobody could tell why discovery was out of reach. At fault: discovery.go, call: it read up to the bound and not one byte beyond. Change: a byte more is read, and the error says the bound. What is held stands, as before. Result: TestListTooLong. An unused field of a test goes.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -300,10 +300,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, longestList))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, longestList+1))
 	if err != nil {
 		return err
 	}
+	if len(body) > longestList {
+		return fmt.Errorf("discovery's list is over %d bytes", longestList)
+	}
 	l, err := ParseList(body)
 	if err != nil {
 		return fmt.Errorf("discovery's list: %w", err)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -298,3 +298,19 @@
 		t.Errorf("%+v", l)
 	}
 }
+
+// A list that is too long to be read is an error that says so: what is held stands, and a shorter one ends it.
+func TestListTooLong(t *testing.T) {
+	f := testkit.NewDiscovery(t, 1, testkit.EntryText("s-1", "127.0.0.1:1", "Ready", 0))
+	var log testkit.LockedBuffer
+	d, events := follower(t, f.Addr().String(), 1, "null", &log)
+	follow(t, d)
+	next(t, events)
+	entry := testkit.EntryText("s-2", "127.0.0.1:2", "Ready", 0)
+	f.Set(2, true, entry, testkit.EntryText(strings.Repeat("s", longestList), "127.0.0.1:3", "Ready", 0))
+	testkit.Eventually(t, "the log says why", func() bool { return log.Count("is over") > 0 })
+	f.Set(3, true, entry)
+	if l := next(t, events); len(l.Members) != 1 || l.Members[0].ID != "s-2" {
+		t.Errorf("%d members", len(l.Members))
+	}
+}
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -20,9 +20,8 @@
 
 // told notes when a client was told of each state of one server.
 type told struct {
-	mu    sync.Mutex
-	at    map[string]time.Time
-	began time.Time
+	mu sync.Mutex
+	at map[string]time.Time
 }
 
 func (s *told) ListUnavailable() {}
