Let the oldest server that has left give way in what is remembered

Seen by reading: 1,024 servers that are not listed are remembered. Once they are, nothing was kept any more: in a fleet whose servers are replaced by others, the memory of those that have gone for good filled the room for the life of the process, and a server that left the list for a moment came back unknown. Ruled out: unbounded growth (TestListChangeForgetsNothing). At fault: recall.go, keep. Change: the oldest gives way; of equal ones that with the lower id, so that equal events go on to give equal actions. Result: of 1,026 that came and went the first two are forgotten and the last is known; before, the last two were the ones forgotten (TestLatestAreKept).

--- a/logic/recall.go
+++ b/logic/recall.go
@@ -1,6 +1,9 @@
 package logic
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // What a balancer has learnt, for the one that comes after it in the same place.
 
@@ -78,10 +81,19 @@
 // mostKept bounds the servers that are remembered beyond those that are listed.
 const mostKept = 1024
 
+// keep remembers a server that is not listed. When too many are, the oldest gives way: servers whose place
+// others took never come back, and would fill the room for good.
 func (b *Balancer) keep(e ServerKnowledge, at time.Duration) {
-	if len(b.kept) < mostKept {
-		b.kept[e.ID] = recollection{e, at}
+	if _, known := b.kept[e.ID]; !known && len(b.kept) >= mostKept {
+		oldest := recollection{at: math.MaxInt64}
+		for _, k := range b.kept {
+			if k.at < oldest.at || k.at == oldest.at && k.ID < oldest.ID {
+				oldest = k
+			}
+		}
+		delete(b.kept, oldest.ID)
 	}
+	b.kept[e.ID] = recollection{e, at}
 }
 
 // recall gives a server that comes new in the list what was known of it, unless it has started anew
--- a/logic/recall_test.go
+++ b/logic/recall_test.go
@@ -74,3 +74,21 @@
 		t.Errorf("%d servers are kept in mind", len(h.kept))
 	}
 }
+
+// Where more servers have come and gone than are kept in mind, it is the latest that are known.
+func TestLatestAreKept(t *testing.T) {
+	h := newBench(t, testSettings(), 1)
+	id := func(i int) string { return time.Duration(i).String() }
+	for i := range mostKept + 2 {
+		h.at += time.Second
+		h.Handle(h.at, ServerList{Servers: []Server{{ID: id(i), Weight: 1}}})
+		h.byID[id(i)].failing = 0.5
+		h.Handle(h.at, ServerList{Servers: []Server{{ID: id(i), State: Gone}}})
+	}
+	for i, want := range map[int]float64{0: 0, 1: 0, 2: 0.5, mostKept + 1: 0.5} {
+		h.Handle(h.at, ServerList{Servers: []Server{{ID: id(i), Weight: 1}}})
+		if got := h.byID[id(i)].failing; got != want {
+			t.Errorf("of server %d of %d a share of failures of %v is known", i, mostKept+2, got)
+		}
+	}
+}
