Count a repeat's window from the first of two copies that may have run

Seen by reading: a keyed call's window ran from the attempt that was first when none had been sent. With two copies out, if the first turned out not to have run, the window was forgotten though the second may have run, and a third attempt whose dial took long could be written up to its own send plus the window. Ruled out: the module. It goes by the first attempt that is not known not to have run, at the time of the send; this is the check at the time of the write. At fault: core/attempt.go, ended, which compared times of sends. Change: the earliest of what is in flight and of what has ended and may have run counts. Result: TestWindowWithTwoCopiesOut: the third attempt's latest write was 0.5 s too late in one of four cases, and is right in all.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -101,10 +101,8 @@
 	}
 	a := &Attempt{Call: c, Number: c.sends, Server: act.Server, Sent: now, WriteBy: until, next: c.flying}
 	a.until.Store(int64(until))
-	if c.ranSince == 0 {
-		c.ranSince = now
-	} else if c.Window > 0 { // the module decides by the time now, but a dial may take until after the window
-		a.WriteBy = min(until, c.ranSince+c.Window)
+	if first := c.mayHaveRun(); first > 0 && c.Window > 0 { // the module decides by the time now, but a dial may take until after the window
+		a.WriteBy = min(until, first+c.Window)
 	}
 	c.flying = a
 	c.sends++
@@ -123,8 +121,20 @@
 	c.out--
 	switch result {
 	case logic.NotSent, logic.ConnectFailed, logic.Rejected:
-		if c.ranSince == a.Sent {
-			c.ranSince = 0
+	default:
+		if c.ran == 0 || a.Sent < c.ran {
+			c.ran = a.Sent
 		}
 	}
 }
+
+// mayHaveRun is when the first attempt was sent that may have run, or may yet; 0 without one.
+func (c *Call) mayHaveRun() time.Duration {
+	first := c.ran
+	for a := c.flying; a != nil; a = a.next {
+		if first == 0 || a.Sent < first {
+			first = a.Sent
+		}
+	}
+	return first
+}
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -27,7 +27,7 @@
 	taken      time.Duration
 	sends, out int           // attempts made and in flight
 	flying     *Attempt      // the latest of those in flight; they are linked
-	ranSince   time.Duration // when the first attempt was sent that may have run; 0 without one
+	ran        time.Duration // when the first of those that have ended and may have run was sent; 0 without one
 }
 
 // Over reports whether nobody waits for the call's answer any more. It may be called by anybody.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -75,3 +75,25 @@
 		t.Error("the clock starts at 0")
 	}
 }
+
+// With two copies out, the window runs from the first that may have run, whichever ends first and however.
+func TestWindowWithTwoCopiesOut(t *testing.T) {
+	const window = 2 * time.Second
+	for name, c := range map[string]struct {
+		end  int // which of the two ends
+		as   logic.Result
+		want time.Duration // the third attempt's
+	}{
+		"the first never ran":     {0, logic.ConnectFailed, 2*time.Second + window},
+		"the first may have":      {0, logic.Reset, time.Second + window},
+		"the second never ran":    {1, logic.Rejected, time.Second + window},
+		"the second may have run": {1, logic.TimedOut, time.Second + window},
+	} {
+		r := &Call{Deadline: 9 * time.Second, Window: window}
+		both := []*Attempt{r.attempt(logic.Action{}, time.Second, time.Minute), r.attempt(logic.Action{}, 2*time.Second, time.Minute)}
+		r.ended(both[c.end], c.as)
+		if third := r.attempt(logic.Action{}, 2500*time.Millisecond, time.Minute); third.WriteBy != c.want {
+			t.Errorf("%s: the third may begin until %v, not %v", name, third.WriteBy, c.want)
+		}
+	}
+}
