Remove what the module is told and asked for, and nobody reads

Need: the review looked for code that nothing calls and settings that nothing reads. Gone: the actions Cancel and Tell with their fields, the event of a peer's message (the line is passed over: balancers share nothing), a request's mark as the client's own repeat (the header still goes on to servers), a stream's attempt number, the errors, queue and requests in hand of a load report, and a constant that stood beside its exported twin.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -13,7 +13,6 @@
 	Key           string        // what it is about; may be empty
 	Timeout       time.Duration // how long the answer may take from the message's last byte on
 	Deadline      time.Duration // when that is over, on the core's clock; 0 of a Partial call until Received
-	Again         bool          // the client says that it repeats itself
 	Partial       bool          // its message still comes in and can be read once
 	Careful       bool          // a repeat of it does harm: what may be closing is not for it
 	Window        time.Duration // of a keyed class: how long after the first attempt another may begin; else 0
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -240,7 +240,7 @@
 	c.taken.Add(1)
 	c.calls[call.ID] = call
 	c.decide(logic.Request{ID: call.ID, Class: call.Class, Tenant: call.Tenant, Key: call.Key, Deadline: call.Deadline,
-		Again: call.Again, Partial: call.Partial})
+		Partial: call.Partial})
 }
 
 // leave ends a call that nobody waits for. An answer that came before that was noticed is given up.
@@ -286,7 +286,7 @@
 	}
 }
 
-// do carries out the module's actions. It makes no use of Cancel and Tell so far.
+// do carries out the module's actions.
 func (c *Core) do(actions []logic.Action) {
 	for _, a := range actions {
 		switch a.Kind {
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -90,7 +90,6 @@
 	m = &httpmsg.Message{Head: appendHead(nil, r, &body), Body: body}
 	c = &core.Call{
 		ID: first(r.Header, requestIDHeader), Class: index, Tenant: tenant, Key: first(r.Header, routeKeyHeader),
-		Again:   first(r.Header, retriedHeader) == "1",
 		Timeout: timeout - min(deadlineMargin, timeout/4),
 		Partial: body.Rest != nil,
 		Careful: class.Effect != logic.Safe,
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -29,7 +29,6 @@
 	drainIdle      = time.Second             // and sooner in a drain: its client has others, or is about to leave
 	drainSweep     = 250 * time.Millisecond  // how often a drain looks for those
 	maxHeader      = 16 << 10
-	heldPart       = 0.8         // of the clients' connections may hold a request; the rest can be told so at once
 	heldRetry      = time.Second // the come-back time when too much is open
 )
 
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -20,7 +20,6 @@
 	used    []*Slot
 	open    map[*Slot]bool
 	waiting map[*Waiter]bool
-	most    int // attempts that hold or await a connection
 }
 
 func (h *history) do(actions []Action) {
--- a/internal/upstream/http/exchange_test.go
+++ b/internal/upstream/http/exchange_test.go
@@ -345,7 +345,7 @@
 func TestReports(t *testing.T) {
 	fields := []string{"util", "qps", "eps"}
 	r, err := parseReport("util=0.5, qps=12,eps=0.25,unheard=3,queue=9", fields)
-	if want := (logic.Report{Util: 0.5, Rate: 12, Errors: 0.25, InFlight: -1, Queue: -1}); err != nil || r != want {
+	if want := (logic.Report{Util: 0.5, Rate: 12}); err != nil || r != want {
 		t.Errorf("%+v, %v", r, err)
 	}
 	for _, text := range []string{"util", "util=", "util=x", "util=NaN,qps=1", "util=Inf", "util=-1", "qps=1e300", "=,"} {
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -4,7 +4,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -152,6 +151,9 @@
 	if !ok {
 		return m, false, fmt.Errorf("instance %q was never launched", m.Instance)
 	}
+	if string(kind) == "Message" {
+		return m, true, nil // balancers share nothing, so that none has anything to tell
+	}
 	if m.Kind == Event {
 		m.Event = d.event(string(kind), v, fields)
 	} else {
@@ -166,23 +168,17 @@
 		return d.members(v)
 	case "Inbound":
 		return logic.Request{ID: d.str(v, "Tid"), Class: d.int(v, "Category"), Tenant: d.int(v, "Billing"),
-			Key: d.str(v, "Resource"), Deadline: d.time(v, "ExpiresNs"), Again: d.flag(v, "Repeat")}
+			Key: d.str(v, "Resource"), Deadline: d.time(v, "ExpiresNs")}
 	case "Answer":
 		return logic.Outcome{Request: d.str(v, "Tid"), Attempt: d.int(v, "RoundNo"), Server: d.name(v, "Backend"),
 			Result: d.result(v), Took: d.time(v, "LagNs"), Closed: d.flag(v, "Last"), Report: d.report(v, fields)}
 	case "Established":
-		return logic.Streaming{Request: d.str(v, "Tid"), Attempt: d.int(v, "RoundNo")}
+		return logic.Streaming{Request: d.str(v, "Tid")}
 	case "Dropped":
 		return logic.ClientGone{Request: d.str(v, "Tid")}
 	case "Health":
 		return logic.Probed{Server: d.name(v, "Backend"), Result: d.result(v), Took: d.time(v, "LagNs"),
 			Report: d.report(v, fields)}
-	case "Message":
-		data, err := base64.StdEncoding.DecodeString(d.str(v, "Blob"))
-		if err != nil {
-			d.fault("Blob is not base64: %v", err)
-		}
-		return logic.PeerMessage{From: d.int(v, "Who"), Data: data}
 	case "TimeoutFired":
 		return logic.TimerFired{Token: d.uint(v, "Handle")}
 	}
@@ -261,19 +257,13 @@
 	return r
 }
 
-// SetFigure sets the figure of a load report that goes by that name; names that are not known are passed over.
+// SetFigure sets the figure of a load report that goes by that name; others say nothing to the module.
 func SetFigure(r *logic.Report, name string, x float64) {
 	switch name {
 	case "util":
 		r.Util = x
 	case "qps":
 		r.Rate = x
-	case "eps":
-		r.Errors = x
-	case "inflight":
-		r.InFlight = x
-	case "queue":
-		r.Queue = x
 	}
 }
 
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"encoding/base64"
 	"encoding/json"
 	"strconv"
 
@@ -17,9 +16,6 @@
 		if a.After > 0 {
 			out = num(out, `,"TryForNs":`, uint64(a.After))
 		}
-	case logic.Cancel:
-		out = request(out, "Cancel", instance, a)
-		out = num(out, `,"RoundNo":`, uint64(a.Attempt))
 	case logic.Refuse:
 		out = request(out, "Shed", instance, a)
 		if a.After > 0 {
@@ -34,9 +30,6 @@
 		out = str(begin(out, "Poll", instance), `,"Backend":`, a.Server)
 	case logic.Subscribe:
 		out = append(begin(out, "Listen", instance), `,"On":true`...)
-	case logic.Tell:
-		out = append(begin(out, "Publish", instance), `,"Whom":"*","Blob":"`...)
-		out = append(base64.StdEncoding.AppendEncode(out, a.Data), '"')
 	}
 	return append(out, "}\n"...)
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -62,13 +62,12 @@
 	half := logic.NoReport
 	half.Util, half.Rate = 0.5, 70
 	want := []logic.Event{
-		logic.Request{ID: "bb39", Class: 1, Key: "k:1", Deadline: 77, Again: true},
+		logic.Request{ID: "bb39", Class: 1, Key: "k:1", Deadline: 77},
 		logic.Outcome{Request: "bb39", Attempt: 2, Server: "10.0.0.1:1", Result: logic.Rejected, Took: 8, Report: half},
 		logic.Outcome{Request: "bb39", Server: "10.0.0.1:1", Closed: true, Report: logic.NoReport},
 		logic.ClientGone{Request: "bb39"},
-		logic.Streaming{Request: "bb39", Attempt: 1},
+		logic.Streaming{Request: "bb39"},
 		logic.Probed{Server: "10.0.0.1:1", Result: logic.TimedOut, Took: 4, Report: logic.NoReport},
-		logic.PeerMessage{From: 2, Data: []byte("hi")},
 		logic.TimerFired{Token: 1 << 63},
 		logic.ListUnavailable{},
 	}
@@ -129,7 +128,6 @@
 		"form":     {`{"type":"Members","I":"agent_1","Form":"new"}`, `line 3: unknown Form "new"`},
 		"result":   {`{"type":"Answer","I":"agent_1","Tid":"x","Result":11}`, "line 3: unknown Result 11"},
 		"typed":    {`{"type":"Dropped","I":"agent_1","Tid":7}`, "line 3: Tid:"},
-		"base64":   {`{"type":"Message","I":"agent_1","Blob":"%"}`, "line 3: Blob is not base64"},
 		"twice":    {`{"type":"Turn","WallNs":6}`, "line 3: a Turn inside a Turn: YourTurn is missing"},
 		"boot":     {`{"type":"Launch","I":"agent_2"}`, "line 3: Launch without BootInfo"},
 		"effect":   {`{"type":"Launch","I":"a","BootInfo":{"Classes":[{"Effect":"odd"}]}}`, "line 3: BootInfo: class"},
@@ -166,14 +164,12 @@
 	for want, a := range map[string]logic.Action{
 		`{"type":"Send","I":"i","Tid":"r","Backend":"s","TryForNs":5}`: {Kind: logic.Send, Request: "r", Server: "s", After: 5},
 		`{"type":"Send","I":"i","Tid":"r","Backend":"s"}`:              {Kind: logic.Send, Request: "r", Server: "s"},
-		`{"type":"Cancel","I":"i","Tid":"r","RoundNo":2}`:              {Kind: logic.Cancel, Request: "r", Attempt: 2},
 		`{"type":"Shed","I":"i","Tid":"r","ComeBackNs":3}`:             {Kind: logic.Refuse, Request: "r", After: 3},
 		`{"type":"Shed","I":"i","Tid":"r"}`:                            {Kind: logic.Refuse, Request: "r"},
 		`{"type":"FinishError","I":"i","Tid":"\u00e9\"r"}`:             {Kind: logic.Fail, Request: "é\"r"},
 		`{"type":"Schedule","I":"i","Handle":9,"FromNowNs":0}`:         {Kind: logic.SetTimer, Token: 9, After: -1},
 		`{"type":"Poll","I":"i","Backend":"s"}`:                        {Kind: logic.Probe, Server: "s"},
 		`{"type":"Listen","I":"i","On":true}`:                          {Kind: logic.Subscribe},
-		`{"type":"Publish","I":"i","Whom":"*","Blob":"aGk="}`:          {Kind: logic.Tell, Data: []byte("hi")},
 	} {
 		got := string(AppendAction(nil, "i", a))
 		var x, y any
--- a/logic/api.go
+++ b/logic/api.go
@@ -125,15 +125,12 @@
 
 // Report is what a server says of its own load. A negative figure is one that it does not state.
 type Report struct {
-	Util     float64 // share of its cores' time in use
-	Rate     float64 // requests done a second
-	Errors   float64 // errors a second
-	InFlight float64
-	Queue    float64
+	Util float64 // share of its cores' time in use
+	Rate float64 // requests done a second
 }
 
 // NoReport is the Report of an answer that brought none.
-var NoReport = Report{Util: -1, Rate: -1, Errors: -1, InFlight: -1, Queue: -1}
+var NoReport = Report{Util: -1, Rate: -1}
 
 // Result is how an attempt or a probe ended.
 type Result int
@@ -170,7 +167,6 @@
 		Class, Tenant int
 		Key           string        // what it is about; may be empty
 		Deadline      time.Duration // when the client gives this try up, on the clock of the events
-		Again         bool          // the client's own repeat, where clients say so
 		Partial       bool          // it still comes in, and can go to one server only; its Deadline comes with Received
 	}
 	// Received says that all of a Partial request has come and has gone on to its server.
@@ -190,10 +186,7 @@
 		Report  Report
 	}
 	// Streaming says that a streamed answer has begun: the attempt belongs to the client now.
-	Streaming struct {
-		Request string
-		Attempt int
-	}
+	Streaming struct{ Request string }
 	// ClientGone says that the client left; nothing more is owed.
 	ClientGone struct{ Request string }
 	// Probed is the result of a probe.
@@ -203,11 +196,6 @@
 		Took   time.Duration
 		Report Report
 	}
-	// PeerMessage comes from another balancer.
-	PeerMessage struct {
-		From int
-		Data []byte
-	}
 	// TimerFired says that a timer set by SetTimer is due.
 	TimerFired struct{ Token uint64 }
 )
@@ -220,7 +208,6 @@
 func (Streaming) event()       {}
 func (ClientGone) event()      {}
 func (Probed) event()          {}
-func (PeerMessage) event()     {}
 func (TimerFired) event()      {}
 
 // ActionKind names what an Action does and which of its fields count.
@@ -229,13 +216,11 @@
 // The kinds of actions.
 const (
 	Send      ActionKind = iota // Request to Server, given up after After (0: when the client does)
-	Cancel                      // attempt number Attempt of Request; not used at present
 	Refuse                      // Request: trying again does no harm; the client stays away for After
 	Fail                        // Request: no promise about its effect
 	SetTimer                    // TimerFired with Token comes after After
 	Probe                       // Server
 	Subscribe                   // to the list of servers
-	Tell                        // every other balancer of Data
 )
 
 // Action is something that the Balancer wants done. Actions take effect in order.
@@ -243,10 +228,8 @@
 	Kind    ActionKind
 	Request string
 	Server  string
-	Attempt int
 	After   time.Duration
 	Token   uint64
-	Data    []byte
 }
 
 // Handle takes one event and returns what is to be done, in order. The actions hold until the next call. What
--- a/logic/check_test.go
+++ b/logic/check_test.go
@@ -68,7 +68,7 @@
 func (w *world) act(actions []Action) {
 	for _, a := range slices.Clone(actions) {
 		r := w.requests[a.Request]
-		if r == nil && (a.Kind == Send || a.Kind == Cancel || a.Kind == Refuse || a.Kind == Fail) {
+		if r == nil && (a.Kind == Send || a.Kind == Refuse || a.Kind == Fail) {
 			w.fault("action for the unknown request %q", a.Request)
 			continue
 		}
@@ -77,8 +77,6 @@
 			w.timers = append(w.timers, worldTimer{w.now + a.After, a.Token})
 		case Send:
 			w.send(r, a)
-		case Cancel:
-			w.cancel(r, a)
 		case Refuse:
 			w.refusals++
 			w.refuse(r)
@@ -144,16 +142,6 @@
 	r.sent = append(r.sent, p)
 }
 
-func (w *world) cancel(r *worldRequest, a Action) {
-	if a.Attempt >= len(r.sent) {
-		w.fault("cancel is not allowed or names no attempt")
-		return
-	}
-	if p := &r.sent[a.Attempt]; p.out {
-		p.ends, p.result = w.now+time.Millisecond, Cancelled
-	}
-}
-
 func (w *world) refuse(r *worldRequest) {
 	c := w.set.Classes[r.Class]
 	for _, p := range r.sent {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -735,7 +735,7 @@
 func TestUnknownIsPassedOver(t *testing.T) {
 	h := newBench(t, testSettings(), 1)
 	for _, e := range []Event{Outcome{Request: "no"}, Outcome{Request: "no", Attempt: -1}, ClientGone{"no"},
-		Streaming{Request: "no"}, Probed{Server: "no"}, TimerFired{99}, Request{ID: "x", Class: 9}, PeerMessage{}} {
+		Streaming{Request: "no"}, Probed{Server: "no"}, TimerFired{99}, Request{ID: "x", Class: 9}} {
 		if a := h.Handle(h.at, e); len(a) != 0 {
 			t.Errorf("%#v: %+v", e, a)
 		}
