Blame no server for a client's short patience, nor a budget for what is not sent

Seen: a tenant that states time-outs of 10 ms, beside servers that take 20 ms, 200 times a second: each time-out counted as a failure of its server unless that had answered somebody meanwhile. Of three healthy servers two or three were held to be ill at a time, and of 150 requests of another tenant two were refused (TestTenantThatMisbehaves, fake time, no patience and odd deadlines from 1 us to 30 ms). Where the server did answer others, the time-out passed for a sign of a jam. In the pool two of them in a row closed all of the server's idle connections. A time that was over before the write said that no connection had come up, and one that ran out within an answer that it was spoilt. Ruled out: cancels, keys without end, wrong costs, ids twice over and answers that nobody reads: the other tenant notices nothing (the same test). At fault: logic/health.go, judge; pool/table.go, Done; upstream/http/exchange.go, run, broke and serve. Change: a time-out before the class's aim says nothing of server, capacity, trial or jam; its connection closes alone (GivenUp); its result is exact.

At fault: attempts.go, outcome.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -48,6 +48,9 @@
 	a.until.Store(int64(now + a.Call.Timeout))
 }
 
+// Began is since when the server may owe an answer: the Send, or the end of a Partial call's message.
+func (a *Attempt) Began() time.Duration { return max(a.Sent, time.Duration(a.written.Load())) }
+
 // Outcome is how an attempt ended.
 type Outcome struct {
 	Result  logic.Result
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -12,6 +12,7 @@
 	Class, Tenant int           // indices into the settings; a tenant below 0 is none
 	Key           string        // what it is about; may be empty
 	Timeout       time.Duration // how long the answer may take from the message's last byte on
+	Aim           time.Duration // an answer may take so long: until then no server is to blame that none has come
 	Deadline      time.Duration // when that is over, on the core's clock; 0 of a Partial call until Received
 	Partial       bool          // its message still comes in and can be read once
 	Careful       bool          // a repeat of it does harm: what may be closing is not for it
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -265,7 +265,7 @@
 		c.finish(call, Answer{Verdict: Served, Content: o.Content})
 	}
 	c.decide(logic.Outcome{Request: call.ID, Attempt: a.Number, Server: a.Server, Result: o.Result,
-		Took: c.clock.Now() - max(a.Sent, time.Duration(a.written.Load())), Closed: call.over.Load(), Spent: o.Spent, Report: o.Report})
+		Took: c.clock.Now() - a.Began(), Closed: call.over.Load(), Spent: o.Spent, Report: o.Report})
 	c.forget(call)
 }
 
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -91,6 +91,7 @@
 	c = &core.Call{
 		ID: first(r.Header, requestIDHeader), Class: index, Tenant: tenant, Key: first(r.Header, routeKeyHeader),
 		Timeout: timeout - min(deadlineMargin, timeout/4),
+		Aim:     class.Aim,
 		Partial: body.Rest != nil,
 		Careful: class.Effect != logic.Safe,
 		Message: m,
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -130,6 +130,7 @@
 	Unused             // nothing was written on it
 	Over               // in order, but to be closed
 	Crossed            // the server closed it before any part of an answer
+	GivenUp            // the agent stopped waiting before it could expect an answer, which says nothing of the server
 	Broken             // anything else
 )
 
@@ -308,6 +309,8 @@
 		t.learn(now, n, s.stood)
 		t.close(s, WhyCrossed)
 		t.suspectAll(now, n)
+	case GivenUp:
+		t.close(s, WhyBroken)
 	case Broken:
 		t.close(s, WhyBroken)
 		t.failed(now, n)
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -479,3 +479,25 @@
 		t.Errorf("%d idle of %d", c.Idle, c.Open)
 	}
 }
+
+// An exchange that the agent gave up on before it could expect an answer makes no connection suspect, however often; its own
+// connection closes.
+func TestGivenUpIsNoEvidence(t *testing.T) {
+	for _, how := range []How{GivenUp, Broken} {
+		b, n := newBench(t, nil)
+		kept := b.get(n, false)
+		var used []*Slot
+		for range 5 {
+			used = append(used, b.get(n, false))
+		}
+		b.Done(b.now, kept, InOrder)
+		for _, s := range used {
+			b.now += time.Millisecond
+			b.Done(b.now, s, how)
+		}
+		c := b.Counts()
+		if still := c.Idle == 1; still != (how == GivenUp) || c.Open != c.Idle || c.Closed[WhyBroken] != 5 {
+			t.Errorf("%v: %+v", how, c)
+		}
+	}
+}
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -127,6 +127,10 @@
 			x.out.Result = logic.NotSent
 			return pool.Broken
 		}
+		if x.message.Body.Rest == nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			x.out.Result = logic.NotSent // the time was over as the write began
+			return pool.GivenUp
+		}
 		return x.broke(err)
 	}
 	if err == nil {
@@ -134,7 +138,7 @@
 	}
 	resp, bad := x.state.readHead()
 	if bad != nil {
-		if x.out.Result = broken(bad); err != nil {
+		if x.out.Result = x.broken(bad); err != nil {
 			x.out.Result = logic.ConnectFailed
 		}
 		return x.broke(bad)
@@ -161,9 +165,17 @@
 // broke says how an exchange without an answer leaves its connection. On a used one that ended before a byte came, the server
 // was closing it as the request went out.
 func (x *exchange) broke(err error) pool.How {
+	if x.out.Result == logic.TimedOut && x.hasty() {
+		return pool.GivenUp
+	}
 	return x.state.broke(x.conn, err)
 }
 
+// hasty reports whether the client left less time than an answer may take: that none came says nothing of the server.
+func (x *exchange) hasty() bool {
+	return x.Clock.Now()-x.attempt.Began() < x.attempt.Call.Aim
+}
+
 func (s *state) broke(c *pool.Conn, err error) pool.How {
 	if !c.Fresh() && s.timed.latest.IsZero() && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errSpoilt) {
 		return pool.Crossed
@@ -234,8 +246,11 @@
 	err := pipe.Fill(io.LimitReader(resp.Body, httpmsg.MaxBody+1), begin)
 	if err != nil && x.told.CompareAndSwap(false, true) {
 		pipe.Close()
-		x.out.Result, x.out.Content = broken(fmt.Errorf("%w: %w", errSpoilt, err)), nil
+		x.out.Result, x.out.Content = x.broken(fmt.Errorf("%w: %w", errSpoilt, err)), nil
 		x.attempt.Report(x.out)
+		if x.out.Result == logic.TimedOut && x.hasty() {
+			return pool.GivenUp
+		}
 	}
 	return left(resp, err)
 }
@@ -390,3 +405,11 @@
 	}
 	return logic.Reset
 }
+
+// broken is that of an exchange: an answer that was still coming when the time was over is late, not spoilt.
+func (x *exchange) broken(err error) logic.Result {
+	if errors.Is(err, os.ErrDeadlineExceeded) && x.Clock.Now() >= x.attempt.Until() {
+		return logic.TimedOut
+	}
+	return broken(err)
+}
--- a/internal/upstream/http/exchange_test.go
+++ b/internal/upstream/http/exchange_test.go
@@ -466,3 +466,45 @@
 	all.Wait()
 	t.Logf("%d idle connections, %d bytes of heap each with the stand-in's end", f.idle(), (heap()-before)/n)
 }
+
+// A client that leaves less time than an answer may take gets an exact outcome, also where the answer has begun to come or the
+// time was over before the write; and it costs its own connection, not those that others use.
+func TestHastyClients(t *testing.T) {
+	t.Parallel()
+	const warm = 6
+	var together sync.WaitGroup
+	together.Add(warm)
+	b := testkit.NewBackend(t, func(c net.Conn, r *http.Request, n int) bool {
+		if n <= warm {
+			together.Done()
+			together.Wait()
+			return testkit.Says(testkit.ServedText)(c, r, n)
+		}
+		if n == warm+1 {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfi")
+		}
+		return testkit.Silent(c, r, n)
+	})
+	f := newFixture(t, b.Addr().String(), 40)
+	var all sync.WaitGroup
+	for range warm {
+		all.Go(func() { f.make(f.attempt(testkit.Patience)).Content.Drop() })
+	}
+	all.Wait()
+	if f.idle() != warm {
+		t.Fatalf("%d connections are kept", f.idle())
+	}
+	for i, c := range []struct {
+		within time.Duration
+		want   logic.Result
+	}{{50 * time.Millisecond, logic.TimedOut}, {5 * time.Millisecond, logic.TimedOut}, {5 * time.Millisecond, logic.TimedOut}, {-time.Millisecond, logic.NotSent}} {
+		a := f.attemptOn("b", c.within, time.Second)
+		a.Call.Aim = time.Minute
+		if o := f.make(a); o.Result != c.want || o.Content != nil {
+			t.Errorf("within %v: result %d", c.within, o.Result)
+		}
+		if n := f.idle(); n != warm-1-i || f.open() != n {
+			t.Errorf("after %d of them %d of %d open connections are idle", i+1, n, f.open())
+		}
+	}
+}
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -52,14 +52,15 @@
 		r.class.Effect == Keyed && r.class.Group == GroupAll
 }
 
-// try sends the request to the best server, or ends it when there is none.
-func (b *Balancer) try(r *request) {
+// try sends the request to the best server, or ends it when there is none. It reports whether it was sent.
+func (b *Balancer) try(r *request) bool {
 	s := b.pick(r)
 	if s == nil {
 		b.finish(r)
-		return
+		return false
 	}
 	b.send(r, s)
+	return true
 }
 
 func (b *Balancer) send(r *request, s *server) {
@@ -122,8 +123,9 @@
 	case r.spent:
 		b.finish(r)
 	case b.budget >= 1:
-		b.budget--
-		b.try(r)
+		if b.try(r) { // one that must not be sent again costs nothing
+			b.budget--
+		}
 	default:
 		b.finish(r)
 	}
--- a/logic/check_test.go
+++ b/logic/check_test.go
@@ -331,6 +331,13 @@
 		if len(b.requests) != 0 {
 			t.Errorf("seed %d: %d requests are kept after all has ended", seed, len(b.requests))
 		}
+		inFlight := 0
+		for _, s := range b.servers {
+			inFlight += len(s.inFlight)
+		}
+		if inFlight != 0 || len(b.open) != 0 || b.budget < 0 || b.budget > b.mostSaved() {
+			t.Errorf("seed %d: after all has ended %d are in flight, %d wait for a deadline, %v are saved up", seed, inFlight, len(b.open), b.budget)
+		}
 		sends, refusals, failures = sends+w.sends, refusals+w.refusals, failures+w.failures
 	}
 	if sends < 10000 || refusals < 100 || failures < 100 {
--- a/logic/health.go
+++ b/logic/health.go
@@ -42,6 +42,10 @@
 		b.ownRate(s, o.Took)
 		b.lateness(float64(o.Took) / float64(a.req.class.Aim))
 	case TimedOut:
+		if a.owed > 0 && b.now-a.owed < a.req.class.Aim {
+			s.trial = false // the client left no time for an answer: that says nothing of server or jam
+			return
+		}
 		if s.heard > a.owed && s.until == 0 {
 			b.lateness(1)
 			return // it answers others: the request is costly or the server in a jam, not ill
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -571,7 +571,7 @@
 		}
 		h.tick(h.horizon / ticks)
 		id, to := h.ask(c.class)
-		copies := 0
+		copies, saved := 0, h.budget
 		for _, a := range h.tick(time.Duration(2 * copyAfter * h.usual[c.class])) {
 			if a.Kind == Send && a.Request == id {
 				copies++
@@ -580,8 +580,8 @@
 				}
 			}
 		}
-		if copies != c.copies {
-			t.Errorf("%s: %d copies", name, copies)
+		if copies != c.copies || h.budget != saved-float64(copies) {
+			t.Errorf("%s: %d copies, %v of %v are left for more", name, copies, h.budget, saved)
 		}
 	}
 }
@@ -660,14 +660,14 @@
 		id, to := h.ask(0)
 		for try := 0; to != ""; try++ {
 			sends++
-			next := h.end(id, to, try, Rejected, NoReport)
+			next := h.end(id, to, try, Reset, NoReport) // a rejection would be a sign of a jam, and refusals would hide the rest
 			to = ""
 			if len(next) == 1 && next[0].Kind == Send {
 				to = next[0].Server
 			}
 		}
 	}
-	if most := n*(1+retryShare) + retrySaved; float64(sends) > most {
+	if most := n*(1+retryShare) + retrySaved; float64(sends) > most || float64(sends) < most-2*retrySaved {
 		t.Errorf("%d attempts for %d requests", sends, n)
 	}
 }
@@ -1139,3 +1139,85 @@
 		t.Errorf("%d are still open", len(h.open))
 	}
 }
+
+// A client that waits for less than an answer may take learns nothing of a server, whatever it does and however often: its
+// time-outs eject none, bend no capacity, decide no trial and pass for no jam. Those after the aim do count.
+func TestShortPatienceBlamesNone(t *testing.T) {
+	for waited, blames := range map[time.Duration]bool{time.Millisecond: false, 599 * time.Millisecond: false, 601 * time.Millisecond: true} {
+		h := newBench(t, testSettings(), 1, 1)
+		h.tick(h.horizon)
+		for range 20 {
+			id, to := h.ask(1)
+			h.at += waited
+			h.end(id, to, 0, TimedOut, NoReport)
+		}
+		blamed := h.late > 0
+		for _, s := range h.servers {
+			blamed = blamed || s.failing > 0 || s.until > 0
+		}
+		if blamed != blames {
+			t.Errorf("after %v: late %.2f, servers %+v", waited, h.late, h.servers)
+		}
+		h = newBench(t, testSettings(), 1, 1)
+		s := h.byID["s0"]
+		h.eject(s)
+		due := s.until
+		h.at = due
+		id, to := h.ask(0)
+		if to != "s0" {
+			t.Fatalf("the trial went to %s", to)
+		}
+		h.at += waited
+		h.end(id, to, 0, TimedOut, NoReport)
+		if again := s.until > due; again != blames {
+			t.Errorf("after %v: a trial that ends without an answer ejects again: %v", waited, again)
+		}
+		if _, to := h.ask(0); (to == "s0") == blames {
+			t.Errorf("after %v: the next request goes to %s", waited, to)
+		}
+	}
+}
+
+// Each result says whether the request may have run, and so what may follow for one that must not run twice: another attempt, or
+// the end without a promise. A refusal tells when to come back.
+func TestWhatFollowsAResult(t *testing.T) {
+	for result, again := range map[Result]bool{Failed: false, TimedOut: false, Reset: false, Cancelled: false,
+		Rejected: true, ConnectFailed: true, NotSent: true} {
+		h := newBench(t, testSettings(), 1, 1)
+		id, to := h.ask(1)
+		want := Fail
+		if again {
+			want = Send
+		}
+		if a := h.end(id, to, 0, result, NoReport); len(a) != 1 || a[0].Kind != want {
+			t.Errorf("after result %d: %+v", result, a)
+		}
+	}
+	set := testSettings()
+	set.MaxRetryAfter = 200 * time.Millisecond
+	for class, want := range []time.Duration{200 * time.Millisecond, 200 * time.Millisecond} {
+		h := newBench(t, set) // with no server
+		var refusal Action
+		for _, a := range h.Handle(h.at, Request{ID: "r", Class: class, Deadline: h.at + time.Second}) {
+			if a.Kind == Refuse {
+				refusal = a
+			}
+		}
+		if refusal.Request != "r" || refusal.After != want {
+			t.Errorf("class %d: %+v", class, refusal)
+		}
+	}
+}
+
+// What must not be sent again costs nothing of the budget for what is.
+func TestBudgetIsForWhatIsSent(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1)
+	saved := h.budget
+	for range 100 {
+		id, to := h.ask(1)
+		h.end(id, to, 0, Reset, NoReport)
+	}
+	if h.budget != saved {
+		t.Errorf("%v of %v are left after 100 failures that nothing follows", h.budget, saved)
+	}
+}
