Hold a body's room until the last attempt lets go of it; count what is pending once

Seen by reading, three counts that a client could bend by leaving at the right moment: - The room that a body takes went back to the budget as its client left, while attempts at it, which are not withdrawn, still held it: a storm of cancelled requests of 64 KiB could hold 30 to 60 MB that the budget did not know of. At fault: server.go, ServeHTTP. The core now says when nothing holds a message any more (Call.Release, TestMessageIsReleasedOnce, TestBodyGivesItsRoomBack). - The end of a long body, told late, went to whatever call had the id by then. At fault: core.go, handle. It is passed over unless it is that call (TestEndOfAMessageOfAnother: the other call, which still came in, was ended after a second; now it is not). - A request whose last byte came in the instant of its end counted as pending for ever. At fault: server.go, taken. It now counts once and never after its end (TestPendingOnce). Ruled out: held requests, connections and waiters, whose counts all come back (stages_test.go).

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -18,6 +18,7 @@
 	Careful       bool          // a repeat of it does harm: what may be closing is not for it
 	Window        time.Duration // of a keyed class: how long after the first attempt another may begin; else 0
 	Message       any           // only the front and the upstream of its protocol look into it
+	Release       func()        // is called once, when nothing holds the message any more; may be nil
 
 	answer    chan Answer // holds one, so that the loop never waits for a client
 	submitted atomic.Bool
@@ -33,6 +34,12 @@
 // Over reports whether nobody waits for the call's answer any more. It may be called by anybody.
 func (c *Call) Over() bool { return c.over.Load() }
 
+func (c *Call) release() {
+	if c.Release != nil {
+		c.Release()
+	}
+}
+
 // Verdict is what kind of answer a client gets.
 type Verdict int
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -211,6 +211,9 @@
 	case ended:
 		c.end(e.attempt, e.outcome)
 	case received:
+		if c.calls[e.call.ID] != e.call {
+			return // it is over, and its id may be another's
+		}
 		e.call.Deadline = e.at + e.call.Timeout
 		c.decide(logic.Received{Request: e.call.ID, Deadline: e.call.Deadline})
 	case left:
@@ -233,6 +236,7 @@
 func (c *Core) arrive(call *Call) {
 	if c.calls[call.ID] != nil {
 		call.over.Store(true)
+		call.release()
 		c.give(call, Answer{Verdict: Duplicate})
 		return
 	}
@@ -339,8 +343,9 @@
 
 // forget drops a call that is over. While attempts are in flight it is kept: their outcomes still teach.
 func (c *Core) forget(call *Call) {
-	if call.over.Load() && call.out == 0 {
+	if call.over.Load() && call.out == 0 && c.calls[call.ID] == call {
 		delete(c.calls, call.ID)
+		call.release()
 	}
 }
 
--- a/internal/core/seam_test.go
+++ b/internal/core/seam_test.go
@@ -285,6 +285,88 @@
 	})
 }
 
+// What holds a call's message is given back once, when the last attempt at it is over: not as its client leaves, nor by an answer
+// alone.
+func TestMessageIsReleasedOnce(t *testing.T) {
+	slow := map[string]*lineServer{"a": {say: func(string, int) string { time.Sleep(100 * time.Millisecond); return "ok fine" }}}
+	play(t, slow, nil, func(s *stage) {
+		var released [3]atomic.Int64
+		holding := func(i int, id string) *core.Call {
+			call := s.call(1)
+			if id != "" {
+				call = &core.Call{ID: id, Class: 1, Tenant: -1, Timeout: call.Timeout, Deadline: call.Deadline, Message: id}
+			}
+			call.Release = func() { released[i].Add(1) }
+			return call
+		}
+		check := func(when string, want [3]int64) {
+			t.Helper()
+			synctest.Wait()
+			for i := range released {
+				if n := released[i].Load(); n != want[i] {
+					t.Errorf("%s: message %d is given back %d times", when, i, n)
+				}
+			}
+		}
+		left := holding(0, "")
+		s.Submit(left)
+		check("at the server", [3]int64{})
+		s.Leave(left)
+		check("its client has left", [3]int64{})
+		if a := <-s.Submit(holding(1, left.ID)); a.Verdict != core.Duplicate {
+			t.Errorf("verdict %d", a.Verdict)
+		}
+		check("under the same id", [3]int64{0, 1, 0})
+		time.Sleep(200 * time.Millisecond)
+		check("the server has answered", [3]int64{1, 1, 0})
+		<-s.Submit(holding(2, ""))
+		check("an answer", [3]int64{1, 1, 1})
+	})
+	play(t, map[string]*lineServer{"a": {say: func(string, int) string { return "" }}}, nil, func(s *stage) {
+		var released atomic.Int64
+		call := s.call(1)
+		call.Release = func() { released.Add(1) }
+		if a := <-s.Submit(call); a.Verdict != core.Failed {
+			t.Errorf("verdict %d", a.Verdict)
+		}
+		if synctest.Wait(); released.Load() != 1 {
+			t.Errorf("given back %d times after a failure", released.Load())
+		}
+	})
+}
+
+// The end of a message that comes late, when its call is over and another has its id, says nothing of that one.
+func TestEndOfAMessageOfAnother(t *testing.T) {
+	tries := 0
+	wrap := func(u *lines) core.Upstream {
+		return rude{u, func(ctx context.Context, a *core.Attempt) {
+			if tries++; tries == 1 {
+				a.Report(core.Outcome{Result: logic.ConnectFailed, Report: logic.NoReport, Spent: true})
+				return
+			}
+			<-ctx.Done()
+			a.Report(core.Outcome{Result: logic.Reset, Report: logic.NoReport})
+		}}
+	}
+	play(t, map[string]*lineServer{"a": {say: fine}}, wrap, func(s *stage) {
+		partial := func() *core.Call {
+			return &core.Call{ID: "same", Class: 1, Tenant: -1, Timeout: time.Second, Partial: true}
+		}
+		first, second := partial(), partial()
+		if a := <-s.Submit(first); a.Verdict != core.Refused {
+			t.Fatalf("verdict %d", a.Verdict)
+		}
+		answer := s.Submit(second)
+		synctest.Wait()
+		s.Received(first, s.clock.Now())
+		time.Sleep(first.Timeout + 100*time.Millisecond) // an answer that nobody takes is given up later
+		if len(answer) != 0 {
+			t.Errorf("the second, which still comes in, ends with %+v", <-answer)
+		}
+		s.Leave(second)
+	})
+}
+
 // rude is an upstream that does not keep to what it owes.
 type rude struct {
 	core.Upstream
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -103,15 +103,15 @@
 		turnAway(w, err)
 		return
 	}
-	defer release()
-	var taken atomic.Bool
+	var taken pending
 	took := func() time.Duration {
-		taken.Store(true)
-		s.Metrics.Taken()
+		if taken.begin() {
+			s.Metrics.Taken()
+		}
 		return s.Clock.Now()
 	}
 	defer func() {
-		if taken.Load() {
+		if taken.end() {
 			s.Metrics.Released()
 		}
 	}()
@@ -124,9 +124,11 @@
 	connlimit.Hold(r.Context())
 	defer s.held.Add(-1)
 	if s.held.Add(1) > s.mostHeld { // nothing was sent yet, so a refusal's promise holds
+		release()
 		s.write(w, r, c, core.Answer{Verdict: core.Refused, RetryAfter: heldRetry})
 		return
 	}
+	c.Release = release // attempts may hold the body for longer than the client stays
 	answers := s.Core.Submit(c)
 	select {
 	case a := <-answers:
@@ -156,6 +158,14 @@
 	}
 }
 
+// pending counts a request that was taken, once: the last byte of a long body may come as its request ends, in a goroutine of
+// its own.
+type pending struct{ state atomic.Int32 }
+
+func (p *pending) begin() bool { return p.state.CompareAndSwap(0, 1) }
+
+func (p *pending) end() bool { return p.state.Swap(2) == 1 }
+
 // turnAway answers bad input. It closes the connection, as what comes behind may be a part of it.
 func turnAway(w http.ResponseWriter, err error) {
 	status := http.StatusBadRequest
--- a/internal/front/http/server_test.go
+++ b/internal/front/http/server_test.go
@@ -15,6 +15,7 @@
 	"ryeweir/internal/httpmsg"
 	"ryeweir/internal/metrics"
 	"ryeweir/internal/testkit"
+	"ryeweir/logic"
 )
 
 // newServer is a server for direct calls, with a request that is in order.
@@ -129,3 +130,67 @@
 		t.Error("back from the end")
 	}
 }
+
+// A request counts as pending from its last byte to its end, once, also where the last byte comes as it ends.
+func TestPendingOnce(t *testing.T) {
+	for name, c := range map[string]struct{ before, after, counted bool }{
+		"taken, then over": {true, false, true}, "over, then taken": {false, true, false}, "taken twice": {true, true, true}, "never taken": {},
+	} {
+		var p pending
+		open := 0
+		begin := func(is bool) {
+			if is && p.begin() {
+				open++
+			}
+		}
+		begin(c.before)
+		if c.counted != (open == 1) {
+			t.Errorf("%s: %d pending", name, open)
+		}
+		if p.end() {
+			open--
+		}
+		begin(c.after)
+		if p.end() || open != 0 {
+			t.Errorf("%s: %d pending in the end", name, open)
+		}
+	}
+}
+
+// connection is a client's connection, as far as a server sets limits on it.
+type connection struct{ *httptest.ResponseRecorder }
+
+func (connection) SetReadDeadline(time.Time) error  { return nil }
+func (connection) SetWriteDeadline(time.Time) error { return nil }
+
+// nobody is an upstream without servers.
+type nobody struct{}
+
+func (nobody) Update(core.List) (int, int)            { return 0, 0 }
+func (nobody) Bind(string) any                        { return nil }
+func (nobody) Try(_ context.Context, _ *core.Attempt) {}
+
+// The room that a body takes is given back once, when its request is over: refused by the module, or because too much is open.
+func TestBodyGivesItsRoomBack(t *testing.T) {
+	for _, tooMuch := range []bool{false, true} {
+		s, r := newServer(t, http.MethodPost, "/refund-record", strings.Repeat("x", 9000))
+		balancer, err := logic.New(s.Site.Logic, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Core = core.New(core.Config{Balancer: balancer, Clock: s.Clock, Upstream: nobody{}, Log: s.Log})
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { s.Core.Run(ctx); close(ended) }()
+		if tooMuch {
+			s.held.Store(s.mostHeld)
+		}
+		w := connection{httptest.NewRecorder()}
+		s.ServeHTTP(w, r)
+		stop()
+		<-ended
+		if left := s.Budget.Take(2 << 20); w.Code != http.StatusServiceUnavailable || left != 1<<20 {
+			t.Errorf("too much open %v: %d, and room for %d is left", tooMuch, w.Code, left)
+		}
+	}
+}
