Test what no test caught, and two tests that could not be trusted

TestBackendBreaksDuringUpload failed in about one run of four without -race: the kernel could hold all of the body, which then had been written whole and may have run. The signal to end comes twice with a reload in between (TestSignals).

--- a/cmd/ryeweir/main_test.go
+++ b/cmd/ryeweir/main_test.go
@@ -59,6 +59,10 @@
 		reach("configuration reloaded")
 	}
 	program.Process.Signal(syscall.SIGTERM)
+	reach("draining")
+	program.Process.Signal(syscall.SIGTERM) // once more, and a reload on its heels: neither cuts the drain short
+	program.Process.Signal(syscall.SIGHUP)
+	reach("configuration reloaded")
 	reach("drained")
 	for lines.Scan() {
 	}
--- a/internal/agent/streaming_test.go
+++ b/internal/agent/streaming_test.go
@@ -242,17 +242,20 @@
 	a := start(t, d, 0)
 	d.Set(2, true, testkit.EntryText("s-1", l.Addr().String(), "Ready", 0), testkit.EntryText("s-2", whole.Addr().String(), "Ready", 0))
 	testkit.Eventually(t, "both are listed", func() bool { return a.figures(t).Members == 2 })
-	refusals, longBody := 0, longText(1<<20)
-	for range 20 {
-		switch got := send(t, a.pay(t, longBody)); {
-		case got.status == http.StatusServiceUnavailable:
-			refusals++
-		case got.status != http.StatusOK:
-			t.Errorf("%+v", got)
+	// More than the kernel holds on the way: else all may have been written before the connection broke, and may have run.
+	longBody := longText(24 << 20)
+	served, refused := 0, false
+	for range 50 { // either backend may be chosen
+		got := send(t, a.pay(t, longBody))
+		if refused = got.status == http.StatusServiceUnavailable; refused {
+			break
+		}
+		if served++; got.status != http.StatusOK {
+			t.Fatalf("%+v", got)
 		}
 	}
-	if whole.Requests()+refusals != 20 || refusals == 0 {
-		t.Errorf("%d refused, %d begun", refusals, whole.Requests())
+	if !refused || whole.Requests() != served {
+		t.Errorf("refused %v, %d served, %d begun", refused, served, whole.Requests())
 	}
 	for _, body := range whole.Bodies {
 		if len(body) != len(longBody) {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -11,7 +11,10 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"ryeweir/internal/world/link"
 )
 
 // fakeAgent is steered and asked.
@@ -119,3 +122,36 @@
 		t.Error(resp.Status)
 	}
 }
+
+// A caller that begins a call and does not go on is let go of, also while places are free.
+func TestHalfACallEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := link.NewNetwork(1)
+		l, err := network.Listen("agent:90")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			done <- Serve(ctx, l, &fakeAgent{}, json.RawMessage("{}"), slog.New(slog.DiscardHandler))
+		}()
+		for _, text := range []string{"", "GET /v1/rea", "POST /v1/agent/drain HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf"} {
+			c, err := network.Dialer("operator")(ctx, "tcp", "agent:90")
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(c, text)
+			began := time.Now()
+			io.Copy(io.Discard, c)
+			if took := time.Since(began); took > callTimeout+time.Second {
+				t.Errorf("%q: held for %v", text, took)
+			}
+			c.Close()
+		}
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
