--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -223,6 +223,11 @@
 			t.Errorf("%+v", a)
 		}
 	}
+	for _, s := range h.servers {
+		if h.maySend(h.requests["up"], s) {
+			t.Errorf("may go to %s beside %s", s.ID, to)
+		}
+	}
 	if actions := h.tick(time.Minute); len(actions) > 0 || h.byID[to].until > 0 {
 		t.Errorf("%+v, ejected: %v", actions, h.byID[to].until > 0)
 	}
@@ -1221,3 +1226,28 @@
 		t.Errorf("%v of %v are left after 100 failures that nothing follows", h.budget, saved)
 	}
 }
+
+// A server that was ejected while it starts is tried once it is warm, not before: a trial is no part of what a cold one may get.
+func TestColdServerGetsNoTrial(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1)
+	s := h.byID["s0"]
+	s.Started = h.at
+	h.eject(s)
+	ask := func() (sent int) {
+		for range 20 {
+			id, to := h.ask(0)
+			if to == s.ID {
+				sent++
+			}
+			h.end(id, to, 0, OK, NoReport)
+		}
+		return sent
+	}
+	h.at = s.until + time.Millisecond
+	if n := ask(); n > 0 || !h.ejected(s) {
+		t.Errorf("%d requests went to an ejected server that is cold", n)
+	}
+	if h.at += h.set.ColdFor; ask() == 0 {
+		t.Error("it is not tried when it is warm")
+	}
+}
