Hold nothing against a server that has started anew for its life before

Seen by reading: what attempts sent before a restart came to, once the news of it was there, counted against the new life: three resets from before ejected a server that had just started, whose first requests then went to a trial. Ruled out: time-outs, as the news counts as a sign of life. At fault: logic/health.go, judge. Change: an outcome of an attempt sent before the news of the latest restart says nothing of the server. Result: TestRestartIsNotBlamedForTheLifeBefore (ejected before, share of failures 0 now; its own still count).

--- a/logic/health.go
+++ b/logic/health.go
@@ -24,6 +24,9 @@
 // idle, so they lower its weight; only answers count as rate.
 func (b *Balancer) judge(a *attempt, o Outcome) {
 	s, bad := a.srv, 0.0
+	if a.sent < s.life {
+		return // it went to the life before
+	}
 	// A request that comes back to a server which has just turned it away hears nothing new.
 	news := o.Result != Rejected || !a.req.rejectedBefore(a)
 	if news && (o.Result == OK || o.Result == Rejected || o.Result == TimedOut || o.Result == Failed) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1251,3 +1251,29 @@
 		t.Error("it is not tried when it is warm")
 	}
 }
+
+// What attempts on a server's earlier life come to, once its restart is known, says nothing of the present one.
+func TestRestartIsNotBlamedForTheLifeBefore(t *testing.T) {
+	h := newBench(t, testSettings(), 1)
+	var ids []string
+	for range 6 {
+		id, _ := h.ask(1)
+		ids = append(ids, id)
+	}
+	h.at += time.Second
+	h.Handle(h.at, ServerList{Servers: []Server{{ID: "s0", Started: h.at - 100*time.Millisecond, Weight: 1}}})
+	for _, id := range ids {
+		h.end(id, "s0", 0, Reset, NoReport)
+	}
+	s := h.byID["s0"]
+	if s.failing > 0 || s.until > 0 || len(s.inFlight) > 0 {
+		t.Errorf("%+v", s)
+	}
+	for range 3 { // its own count
+		id, _ := h.ask(1)
+		h.end(id, "s0", 0, Reset, NoReport)
+	}
+	if s.failing == 0 {
+		t.Error("its own failures do not count")
+	}
+}
--- a/logic/members.go
+++ b/logic/members.go
@@ -27,7 +27,8 @@
 			b.servers = append(b.servers, s)
 		} else if e.Started != s.Started {
 			// A restarted process is cold and well: what an earlier life showed says nothing of it.
-			*s = server{inFlight: s.inFlight, heard: b.now, rank: s.rank, probing: s.probing, nextProbe: s.nextProbe}
+			*s = server{inFlight: s.inFlight, life: b.now, heard: b.now, rank: s.rank,
+				probing: s.probing, nextProbe: s.nextProbe}
 		}
 		s.Server = e
 		if !b.set.ListWeights || e.Weight <= 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -50,6 +50,7 @@
 type server struct {
 	Server
 	inFlight  []*attempt    // own, oldest first
+	life      time.Duration // when the news of its latest restart came; 0 without one
 	took      float64       // own mean time to an answer in seconds, kept while no server reports
 	rate      float64       // capacity in requests a second; 0 without an estimate
 	trust     float64       // in the estimate: 1 after a report, less with time
