--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -59,14 +59,21 @@
 	ErrOld   = errors.New("the snapshot is too old")
 )
 
-// Save replaces the file whole, or leaves the one that is there.
+// Save replaces the file whole, or leaves the one that is there. Of a fleet that is too large for the bound it keeps a part.
 func (f File) Save(k logic.Knowledge, now time.Time) error {
-	text, err := json.Marshal(document{Agent: f.Agent, Classes: f.Classes, Taken: now, Knowledge: k})
-	if err != nil {
-		return fmt.Errorf("snapshot: %w", err)
-	}
-	if header+len(text) > MaxSize {
-		return fmt.Errorf("snapshot: %d bytes are more than %d", header+len(text), MaxSize)
+	var text []byte
+	for {
+		var err error
+		if text, err = json.Marshal(document{Agent: f.Agent, Classes: f.Classes, Taken: now, Knowledge: k}); err != nil {
+			return fmt.Errorf("snapshot: %w", err)
+		}
+		if header+len(text) <= MaxSize {
+			break
+		}
+		if len(k.Servers) == 0 {
+			return fmt.Errorf("snapshot: %d bytes are more than %d", header+len(text), MaxSize)
+		}
+		k.Servers = k.Servers[:len(k.Servers)*3/4]
 	}
 	data := binary.BigEndian.AppendUint32([]byte(magic), crc32.Checksum(text, crc32.MakeTable(crc32.Castagnoli)))
 	data = append(data, text...)
