Let nobody wait for a connection whose client has left

Seen by reading: an attempt in the pool's queue went on waiting after its client had left, until it got a connection or the connect time-out had passed. A storm of cancels could fill the queue with such, and others were refused for want of room. Ruled out: that anything was sent for them (stillWanted). At fault: pool.go, wait, which knew only the end of the process. Change: the core closes a call's channel as the call ends, and the pool's waiter goes. Result: 20 ms after a client has left none waits (TestGivenUpAtEveryStage: one did). That nothing is sent for who left before a kept connection was handed over, no test showed: TestNothingIsSentForWhoHasLeft.

--- a/internal/agent/stages_test.go
+++ b/internal/agent/stages_test.go
@@ -230,6 +230,10 @@
 					c := d.begin(s)
 					if leaves {
 						c.Close()
+						time.Sleep(20 * time.Millisecond)
+						if n := d.figures().Connections.Waiting; n > 0 {
+							t.Errorf("%d wait for a connection whose client has left", n)
+						}
 					} else {
 						status, whole, more := reading(c)
 						if status != s.late && s.late > 0 || whole != (s.late > 0) || more > 0 {
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -22,7 +22,8 @@
 
 	answer    chan Answer // holds one, so that the loop never waits for a client
 	submitted atomic.Bool
-	over      atomic.Bool // has its answer, or the client left; set by the loop only
+	over      atomic.Bool   // has its answer, or the client left; set by the loop only
+	gone      chan struct{} // closed with it
 
 	// The loop's own:
 	taken      time.Duration
@@ -31,6 +32,15 @@
 	ran        time.Duration // when the first of those that have ended and may have run was sent; 0 without one
 }
 
+// Gone is closed when nobody waits for the call's answer any more; nil of a call that was not handed over.
+func (c *Call) Gone() <-chan struct{} { return c.gone }
+
+// ends says that nobody waits for the answer any more. It is called once.
+func (c *Call) ends() {
+	c.over.Store(true)
+	close(c.gone)
+}
+
 // Over reports whether nobody waits for the call's answer any more. It may be called by anybody.
 func (c *Call) Over() bool { return c.over.Load() }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,7 +104,7 @@
 		c.faults.Resubmitted.Add(1)
 		return nil
 	}
-	call.answer = make(chan Answer, 1)
+	call.answer, call.gone = make(chan Answer, 1), make(chan struct{})
 	c.tell(arrived{call})
 	return call.answer
 }
@@ -235,7 +235,7 @@
 // arrive takes a new call. A second one under the id of one that is not over could not be told from it.
 func (c *Core) arrive(call *Call) {
 	if c.calls[call.ID] != nil {
-		call.over.Store(true)
+		call.ends()
 		call.release()
 		c.give(call, Answer{Verdict: Duplicate})
 		return
@@ -250,7 +250,7 @@
 // leave ends a call that nobody waits for. An answer that came before that was noticed is given up.
 func (c *Core) leave(call *Call) {
 	if !call.over.Load() {
-		call.over.Store(true)
+		call.ends()
 		c.decide(logic.ClientGone{Request: call.ID})
 		c.forget(call)
 		return
@@ -336,7 +336,7 @@
 		a.drop()
 		return
 	}
-	call.over.Store(true)
+	call.ends()
 	c.give(call, a)
 	c.forget(call)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -148,15 +148,15 @@
 }
 
 // Get returns a connection to the server that is up by then, or an error that wraps one of the reasons above. Careful is what
-// must not repeat: it goes out on a connection that the server may be closing only where no other is to be had. Put gives the
-// connection back.
-func (p *Pool) Get(ctx context.Context, n *Node, careful bool, until time.Time) (*Conn, error) {
+// must not repeat: it goes out on a connection that the server may be closing only where no other is to be had. Who is gone
+// waits no longer. Put gives the connection back.
+func (p *Pool) Get(ctx context.Context, n *Node, careful bool, until time.Time, gone <-chan struct{}) (*Conn, error) {
 	for {
 		c, w, wait := p.want(n, careful)
 		if c != nil {
 			return c, nil
 		}
-		s, why, err := p.wait(ctx, w, wait, until)
+		s, why, err := p.wait(ctx, w, wait, until, gone)
 		switch {
 		case err != nil:
 			return nil, err
@@ -182,7 +182,7 @@
 	if !spare {
 		return nil, ErrNoRoom
 	}
-	return p.Get(ctx, n, false, until)
+	return p.Get(ctx, n, false, until, nil)
 }
 
 // want asks for a connection: one that is open and quiet, or a place in the queue.
@@ -210,7 +210,7 @@
 }
 
 // wait waits for a waiter's answer: a slot, or why there is none.
-func (p *Pool) wait(ctx context.Context, w *Waiter, wait time.Duration, until time.Time) (*Slot, Why, error) {
+func (p *Pool) wait(ctx context.Context, w *Waiter, wait time.Duration, until time.Time, gone <-chan struct{}) (*Slot, Why, error) {
 	select {
 	case a := <-w.Answer: // refused at once
 		return a.Slot, a.Why, nil
@@ -223,6 +223,8 @@
 		return a.Slot, a.Why, nil
 	case <-patience.C:
 	case <-ctx.Done():
+	case <-gone:
+		until = time.Time{}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/upstream/http/exchange_test.go
+++ b/internal/upstream/http/exchange_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -297,11 +298,11 @@
 	b := f.Pool.Node("b")
 	soon := time.Now().Add(testkit.Patience)
 	for i := range 2 {
-		if _, err := f.Pool.Get(context.Background(), b, false, soon); err != nil {
+		if _, err := f.Pool.Get(context.Background(), b, false, soon, nil); err != nil {
 			t.Fatalf("connection %d: %v", i, err)
 		}
 	}
-	if _, err := f.Pool.Get(context.Background(), b, false, soon); !errors.Is(err, pool.ErrNoRoom) {
+	if _, err := f.Pool.Get(context.Background(), b, false, soon, nil); !errors.Is(err, pool.ErrNoRoom) {
 		t.Errorf("a third of at most 8/4: %v", err)
 	}
 	// It is the agent's own lack: told as a failure of the backend, it would make the module shun one that is well.
@@ -508,3 +509,53 @@
 		}
 	}
 }
+
+// late is an upstream whose attempts begin when a test lets them.
+type late struct {
+	*Upstream
+	begun, let chan struct{}
+}
+
+func (h late) Try(ctx context.Context, a *core.Attempt) {
+	h.begun <- struct{}{}
+	<-h.let
+	h.Upstream.Try(ctx, a)
+}
+
+// An attempt whose client has left by the time that it could be written is not written, though a connection is at hand.
+func TestNothingIsSentForWhoHasLeft(t *testing.T) {
+	t.Parallel()
+	b := testkit.NewBackend(t, testkit.Says(testkit.ServedText))
+	f := newFixture(t, b.Addr().String(), 4)
+	f.make(f.attempt(testkit.Patience)).Content.Drop() // a connection is kept
+	balancer, err := logic.New(logic.Settings{Balancers: 1, MaxAttempts: 1,
+		Classes: []logic.Class{{Name: "pay", Effect: logic.Unsafe, Aim: time.Second, Deadline: testkit.Patience, Worth: 1}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	up := late{f.Upstream, make(chan struct{}), make(chan struct{})}
+	c := core.New(core.Config{Balancer: balancer, Clock: f.Clock, Upstream: up, Log: slog.New(slog.DiscardHandler)})
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	c.SetList(core.List{Full: true, Members: []core.Member{{Server: logic.Server{ID: "b"}, Addr: b.Addr().String()}}})
+	for _, leaves := range []bool{false, true} {
+		call := f.attempt(testkit.Patience).Call
+		call.ID, call.Deadline, call.Tenant = fmt.Sprint(leaves), f.Clock.Now()+testkit.Patience, -1
+		answer := c.Submit(call)
+		<-up.begun
+		if leaves {
+			c.Leave(call)
+			<-call.Gone()
+		}
+		up.let <- struct{}{}
+		if !leaves {
+			(<-answer).Content.Drop()
+		}
+	}
+	stop()
+	<-ended
+	if n := b.Requests(); n != 2 {
+		t.Errorf("the backend has read %d requests", n)
+	}
+}
--- a/internal/upstream/http/probe_test.go
+++ b/internal/upstream/http/probe_test.go
@@ -66,7 +66,7 @@
 	if crossed.Requests() != 3 || crossed.Connections() != 2 {
 		t.Errorf("%d requests on %d connections", crossed.Requests(), crossed.Connections())
 	}
-	c, err := f.Pool.Get(context.Background(), f.Pool.Node("b"), false, soon())
+	c, err := f.Pool.Get(context.Background(), f.Pool.Node("b"), false, soon(), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -34,7 +34,7 @@
 func (u *Upstream) Try(ctx context.Context, a *core.Attempt) {
 	node, _ := a.Target.(*pool.Node)
 	out := core.Outcome{Result: logic.NotSent, Report: logic.NoReport}
-	c, err := u.Pool.Get(ctx, node, a.Call.Careful, u.Clock.At(a.Until()))
+	c, err := u.Pool.Get(ctx, node, a.Call.Careful, u.Clock.At(a.Until()), a.Call.Gone())
 	switch {
 	case errors.Is(err, pool.ErrNotReady) || errors.Is(err, pool.ErrNoRoom) || errors.Is(err, pool.ErrLate):
 		a.Report(out) // the agent's own lack says nothing of the server
