--- a/internal/agent/stages_test.go
+++ b/internal/agent/stages_test.go
@@ -379,3 +379,41 @@
 		})
 	}
 }
+
+// Clients that ask for long answers and do not read them hold connections until they are cut, and nobody else is kept waiting: not
+// for a connection, and not for a place among the clients.
+func TestClientsThatDoNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		body := strings.Repeat("x", 4<<20)
+		d := newDeskOf(t, 3, []peer.Step{peer.Forever(peer.Request(), peer.Send(peer.OK(body)))})
+		defer d.close()
+		var all sync.WaitGroup
+		for i := range 150 { // 30 a second
+			all.Go(func() {
+				c := d.client(fmt.Sprintf("GET /price-basket HTTP/1.1\r\nHost: o\r\nX-Request-ID: %016x\r\nX-Tenant-Id: bath-box\r\nX-Timeout: 800m\r\n\r\n", 1<<32+i))
+				time.Sleep(20 * time.Second)
+				if _, whole, _ := reading(c); whole {
+					t.Error("an answer that nobody read for 20 s is whole")
+				}
+				c.Close()
+			})
+			if i%10 == 0 {
+				c := d.client(fmt.Sprintf("GET /price-basket HTTP/1.1\r\nHost: o\r\nX-Request-ID: %016x\r\nX-Tenant-Id: kottu-run\r\nX-Timeout: 800m\r\nConnection: close\r\n\r\n", i))
+				began := time.Now()
+				if status, whole, _ := reading(c); status != http.StatusOK || !whole || time.Since(began) > 100*time.Millisecond {
+					t.Errorf("request %d got %d, whole %v, after %v", i, status, whole, time.Since(began))
+				}
+				c.Close()
+			}
+			time.Sleep(time.Second / 30)
+		}
+		if f := d.figures(); f.Unavailable > 0 || f.Connections.Waiting > 0 {
+			t.Errorf("beside them %+v", f)
+		}
+		all.Wait()
+		time.Sleep(10 * time.Second)
+		if f := d.figures(); f.Pending != 0 || f.Connections.Open != f.Connections.Idle {
+			t.Errorf("in the end %+v", f)
+		}
+	})
+}
