See that clients that do not read are cut while they still hold on

Cause: the test passed with the front's limit on a piece put out of force, as the server's side cuts such an answer when its client reads at last. Change: all must be given back 8 s after the last one came, while they still do not read. Result: fails with that fault, passes without.

--- a/internal/agent/stages_test.go
+++ b/internal/agent/stages_test.go
@@ -410,6 +410,10 @@
 		if f := d.figures(); f.Unavailable > 0 || f.Connections.Waiting > 0 {
 			t.Errorf("beside them %+v", f)
 		}
+		time.Sleep(8 * time.Second) // they still do not read
+		if f := d.figures(); f.Pending != 0 || f.Connections.Open != f.Connections.Idle {
+			t.Errorf("8 s later they hold %+v", f)
+		}
 		all.Wait()
 		time.Sleep(10 * time.Second)
 		if f := d.figures(); f.Pending != 0 || f.Connections.Open != f.Connections.Idle {
