--- a/internal/agent/scripted_test.go
+++ b/internal/agent/scripted_test.go
@@ -62,21 +62,18 @@
 	}
 }
 
-// ask runs an agent that knows one backend, at node:80, and sends it one request.
-func ask(t *testing.T, network *link.Network, method, path string) (status int, body string) {
-	ops := operator.Default()
-	ops.Probes.Share = 0 // the script is for requests
-	return askWith(t, network, ops, slog.New(slog.DiscardHandler), method, path)
-}
-
-func askWith(t *testing.T, network *link.Network, ops operator.File, log *slog.Logger, method, path string) (status int, body string) {
+// knows is the configuration of an agent that has these backends from an earlier life, and no discovery.
+func knows(t *testing.T, control string, nodes ...string) platform.Config {
 	spec := usualDay()
 	day, err := spec.Draw(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	known := discovery.List{Version: 1, Full: true, Servers: []discovery.Entry{{ID: "node", Addr: "node:80", Zone: "colombo", State: discovery.Ready, Weight: 1}}}
-	text, err := day.AgentConfig(0, "127.0.0.1:80", "", "nowhere:1", world.DefaultLimits(), &known)
+	known := discovery.List{Version: 1, Full: true}
+	for _, id := range nodes {
+		known.Servers = append(known.Servers, discovery.Entry{ID: id, Addr: id + ":80", Zone: "colombo", State: discovery.Ready, Weight: 1})
+	}
+	text, err := day.AgentConfig(0, "127.0.0.1:80", control, "nowhere:1", world.DefaultLimits(), &known)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,6 +81,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return cfg
+}
+
+// ask runs an agent that knows one backend, at node:80, and sends it one request.
+func ask(t *testing.T, network *link.Network, method, path string) (status int, body string) {
+	ops := operator.Default()
+	ops.Probes.Share = 0 // the script is for requests
+	return askWith(t, network, ops, slog.New(slog.DiscardHandler), method, path)
+}
+
+func askWith(t *testing.T, network *link.Network, ops operator.File, log *slog.Logger, method, path string) (status int, body string) {
+	cfg := knows(t, "", "node")
 	clients, err := network.Listen("agent:80")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/agent/stages_test.go
+++ b/internal/agent/stages_test.go
@@ -20,8 +20,6 @@
 	"ryeweir/internal/agent"
 	"ryeweir/internal/config/operator"
 	"ryeweir/internal/config/platform"
-	"ryeweir/internal/world"
-	"ryeweir/internal/world/discovery"
 	"ryeweir/internal/world/link"
 	"ryeweir/internal/world/peer"
 )
@@ -50,27 +48,12 @@
 		return l
 	}
 	d.node = peer.New(listen("node:80"), scripts...)
-	known := discovery.List{Version: 1, Full: true, Servers: []discovery.Entry{{ID: "node", Addr: "node:80", Zone: "colombo", State: discovery.Ready, Weight: 1}}}
+	ids := []string{"node"}
 	for i := 1; i < nodes; i++ {
-		e := known.Servers[0]
-		e.ID = fmt.Sprint("node", i)
-		e.Addr = e.ID + ":80"
-		d.others = append(d.others, peer.New(listen(e.Addr), scripts...))
-		known.Servers = append(known.Servers, e)
-	}
-	spec := usualDay()
-	day, err := spec.Draw(1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	text, err := day.AgentConfig(0, "127.0.0.1:80", "127.0.0.1:90", "nowhere:1", world.DefaultLimits(), &known)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg, err := platform.Check("config.json", text)
-	if err != nil {
-		t.Fatal(err)
+		ids = append(ids, fmt.Sprint("node", i))
+		d.others = append(d.others, peer.New(listen(ids[i]+":80"), scripts...))
 	}
+	cfg := knows(t, "127.0.0.1:90", ids...)
 	ops := operator.Default()
 	ops.Probes.Share = 0 // the scripts are for requests
 	hangups := make(chan os.Signal, 1)
