Look again at short patience, and at a connection that makes room

Seen on reading the change as a whole: a time-out before the aim still counted as an attempt that was not turned away, so that a flood of them hid that servers were full; a held body that a server did not take within the aim was put down to nobody; and a request that began on a connection that was just being closed for another was read and cut, as in a drain. Ruled out: the later part of judge, and what is written before the aim. At fault: health.go, judge; exchange.go, run; connlimit.go, makeRoom. Change: what the client left no time for is passed over before anything is counted; only a write within the aim says nothing of its server; a connection that makes room is marked before it closes. Result: TestShortPatienceBlamesNone, TestHastyClients and TestRequestThatCrossesACloseForRoom fail with each of the three put back.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -86,6 +86,7 @@
 			t.room.Wait()
 			continue
 		}
+		c.retired = true
 		t.mu.Unlock()
 		c.Close()
 		runtime.Gosched() // its reader lets go of the descriptor only when it has run
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -123,6 +123,21 @@
 	return l.Conn.Close()
 }
 
+// What comes on a connection that is just making room is not read, so that its client may send it again.
+func TestRequestThatCrossesACloseForRoom(t *testing.T) {
+	table := New(listen(t), 1)
+	c, far := pair(t, table)
+	n := -1
+	c.Conn = late{c.Conn, func() {
+		io.WriteString(far, "G")
+		n, _ = c.Read(make([]byte, 1))
+	}}
+	pair(t, table)
+	if n != 0 || table.Len() != 1 {
+		t.Errorf("%d bytes were read, %d connections are left", n, table.Len())
+	}
+}
+
 // A drain closes connections one after the other. A request that begins on one meanwhile goes on; on one that is about to close
 // none is read, so that its client may send it again.
 func TestRequestThatCrossesACloseOfMany(t *testing.T) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -224,7 +224,7 @@
 	case <-patience.C:
 	case <-ctx.Done():
 	case <-gone:
-		until = time.Time{}
+		until = time.Time{} // whenever it came up, it would be too late
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -127,8 +127,8 @@
 			x.out.Result = logic.NotSent
 			return pool.Broken
 		}
-		if x.message.Body.Rest == nil && errors.Is(err, os.ErrDeadlineExceeded) {
-			x.out.Result = logic.NotSent // the time was over as the write began
+		if x.message.Body.Rest == nil && errors.Is(err, os.ErrDeadlineExceeded) && x.hasty() {
+			x.out.Result = logic.NotSent // the time was over before the server could take it
 			return pool.GivenUp
 		}
 		return x.broke(err)
--- a/internal/upstream/http/exchange_test.go
+++ b/internal/upstream/http/exchange_test.go
@@ -496,11 +496,13 @@
 		t.Fatalf("%d connections are kept", f.idle())
 	}
 	for i, c := range []struct {
-		within time.Duration
-		want   logic.Result
-	}{{50 * time.Millisecond, logic.TimedOut}, {5 * time.Millisecond, logic.TimedOut}, {5 * time.Millisecond, logic.TimedOut}, {-time.Millisecond, logic.NotSent}} {
+		within, aim time.Duration
+		want        logic.Result
+	}{{50 * time.Millisecond, time.Minute, logic.TimedOut}, {5 * time.Millisecond, time.Minute, logic.TimedOut},
+		{5 * time.Millisecond, time.Minute, logic.TimedOut}, {-time.Millisecond, time.Minute, logic.NotSent},
+		{-time.Millisecond, 0, logic.ConnectFailed}} { // of a write that was not taken within the aim
 		a := f.attemptOn("b", c.within, time.Second)
-		a.Call.Aim = time.Minute
+		a.Call.Aim = c.aim
 		if o := f.make(a); o.Result != c.want || o.Content != nil {
 			t.Errorf("within %v: result %d", c.within, o.Result)
 		}
--- a/logic/health.go
+++ b/logic/health.go
@@ -27,6 +27,10 @@
 	if a.sent < s.life {
 		return // it went to the life before
 	}
+	if o.Result == TimedOut && a.owed > 0 && b.now-a.owed < a.req.class.Aim {
+		s.trial = false // the client left no time for an answer: that says nothing of server or jam
+		return
+	}
 	// A request that comes back to a server which has just turned it away hears nothing new.
 	news := o.Result != Rejected || !a.req.rejectedBefore(a)
 	if news && (o.Result == OK || o.Result == Rejected || o.Result == TimedOut || o.Result == Failed) {
@@ -45,10 +49,6 @@
 		b.ownRate(s, o.Took)
 		b.lateness(float64(o.Took) / float64(a.req.class.Aim))
 	case TimedOut:
-		if a.owed > 0 && b.now-a.owed < a.req.class.Aim {
-			s.trial = false // the client left no time for an answer: that says nothing of server or jam
-			return
-		}
 		if s.heard > a.owed && s.until == 0 {
 			b.lateness(1)
 			return // it answers others: the request is costly or the server in a jam, not ill
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1151,12 +1151,13 @@
 	for waited, blames := range map[time.Duration]bool{time.Millisecond: false, 599 * time.Millisecond: false, 601 * time.Millisecond: true} {
 		h := newBench(t, testSettings(), 1, 1)
 		h.tick(h.horizon)
+		h.full = 0.1
 		for range 20 {
 			id, to := h.ask(1)
 			h.at += waited
 			h.end(id, to, 0, TimedOut, NoReport)
 		}
-		blamed := h.late > 0
+		blamed := h.late > 0 || h.full != 0.1 // nor do they hide that servers turn others away
 		for _, s := range h.servers {
 			blamed = blamed || s.failing > 0 || s.until > 0
 		}
