--- a/cmd/ryeweir/lab.go
+++ b/cmd/ryeweir/lab.go
@@ -58,7 +58,7 @@
 				defer stop()
 				ctx, end := context.WithTimeout(ctx, hunt)
 				defer end()
-				found, err := lab.Hunt(ctx, seed, dir, c.OutOrStdout())
+				found, err := lab.Hunt(ctx, seed, 0, dir, c.OutOrStdout())
 				if err == nil && len(found.Found) > 0 {
 					return errSaid
 				}
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -41,9 +41,9 @@
 	return world.FleetDay{Name: fmt.Sprintf("mixed-%d", seed), Kind: world.MixedDay, Agents: 20 + rng.IntN(180), Nodes: 12 + rng.IntN(88)}
 }
 
-// Hunt plays random days of whole fleets with the agent's decisions, from a seed on, until the context ends or mostFound days did not
-// pass the gate. Each of these is left in dir as an experiment's file that plays it again. Progress goes to out.
-func Hunt(ctx context.Context, seed uint64, dir string, out io.Writer) (Hunted, error) {
+// Hunt plays random days of whole fleets with the agent's decisions, from a seed on, until the context ends, most days are played (0: no
+// limit) or mostFound did not pass the gate. Each of these is left in dir as an experiment's file that plays it again. Progress goes to out.
+func Hunt(ctx context.Context, seed, most uint64, dir string, out io.Writer) (Hunted, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return Hunted{}, fmt.Errorf("the folder for what is found: %w", err)
 	}
@@ -54,7 +54,11 @@
 	for range runtime.GOMAXPROCS(0) {
 		players.Go(func() {
 			for ctx.Err() == nil {
-				s := seed + next.Add(1) - 1
+				n := next.Add(1)
+				if most > 0 && n > most {
+					return
+				}
+				s := seed + n - 1
 				why, err := playPrey(s)
 				mu.Lock()
 				h.Played++
--- a/internal/lab/outcome.go
+++ b/internal/lab/outcome.go
@@ -64,6 +64,7 @@
 	Truths      *Truths                `json:"truths,omitempty"`                   // of a simulation
 	ColdPeak    float64                `json:"cold_peak"`                          // the most that a cold node was sent, of what topples it
 	Used        []float64              `json:"nodes_used,omitempty"`               // of a simulation: share of the nodes, a second each
+	Busy        []float64              `json:"nodes_busy,omitempty"`               // of a simulation: work done of what could be, a second each
 	Priced      float64                `json:"priced"`                             // the goal less the day's prices
 	ProbeWork   float64                `json:"probe_work"`                         // as a share of what the nodes could do
 	CPU         float64                `json:"agent_cpu_us_per_request,omitempty"` // of all agents' processes
--- a/internal/lab/simulate.go
+++ b/internal/lab/simulate.go
@@ -56,7 +56,7 @@
 		t.nodes = append(t.nodes, n.past.Plus(n.Figures()))
 	}
 	o := t.sum(arm.Name, true)
-	o.Truths, o.Used = &s.truth, s.used
+	o.Truths, o.Used, o.Busy = &s.truth, s.used, s.busy
 	return o, nil
 }
 
@@ -90,6 +90,7 @@
 	open    map[string]*simTry
 	calls   []referee.Call
 	load    [][]float64
+	busy    []float64 // work done of what the nodes that are up could do at present, a second each
 	used    []float64 // share of the listed nodes that something came to, a second each
 	marks   []world.Mark
 	left    int // calls that have not ended
@@ -175,6 +176,7 @@
 	past   node.Figures
 	told   bool // that it toppled
 	seen   int  // what had been offered at the latest look
+	worked time.Duration
 }
 
 // simTry is a try of a client, on its way.
@@ -269,17 +271,20 @@
 	var look func()
 	look = func() {
 		row, listed, used := make([]float64, len(s.nodes)), 0, 0
+		done, could := 0.0, 0.0
 		for i, n := range s.nodes {
 			row[i] = float64(n.InFlight())
-			offered := n.Figures().Offered
+			offered, work := n.Figures().Offered, n.Figures().Work
 			if n.up {
 				listed++
+				done, could = done+(work-n.worked).Seconds(), could+n.Capacity()
 				if offered > n.seen {
 					used++
 				}
 			}
-			n.seen = offered
+			n.seen, n.worked = offered, work
 		}
+		s.busy = append(s.busy, done/max(1e-9, could))
 		s.load = append(s.load, row)
 		s.used = append(s.used, float64(used)/max(1, float64(listed)))
 		if s.now < s.day.Length {
@@ -330,7 +335,7 @@
 			s.change(list.Notice.D(), s.entry(p.Node, logic.Draining))
 		case node.Restart, node.Replace:
 			s.kill(n)
-			if list.Notice.D() < p.To-p.From+list.Add.D() {
+			if p.Kind == node.Replace || list.Notice.D() < p.To-p.From+list.Add.D() {
 				s.change(list.Notice.D(), s.entry(p.Node, logic.Gone))
 			}
 		default:
@@ -352,7 +357,7 @@
 			spec.Started = s.now
 			n.past = n.past.Plus(n.Figures())
 			delete(s.byID, n.ID)
-			n.Node, n.up, n.told, n.seen = node.New(spec, s.day.Seed*1000+uint64(len(s.nodes)+n.number)), true, false, 0
+			n.Node, n.up, n.told, n.seen, n.worked = node.New(spec, s.day.Seed*1000+uint64(len(s.nodes)+n.number)), true, false, 0, 0
 			s.byID[n.ID] = n
 			n.Advance(s.now)
 			s.rouse(n)
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -285,7 +285,7 @@
 	}
 	w.mu.Unlock()
 	w.kill(i)
-	if notice < back-w.Now()+add {
+	if renamed || notice < back-w.Now()+add {
 		w.disco.Set(w.entry(i, spec, discovery.Gone), notice+w.late())
 	}
 	if !w.until(back) {
