Blame nobody in the emulator for a cold node that they were not told of

At fault: the referee's part in internal/lab/simulate.go, which blamed the agents whatever they knew; the platform's rule wants two thirds of it from those who were told. Change: work says whether its sender knew the node's life; a topple by others breaks no rule, and the peak of a cold node counts what was sent knowingly.

--- a/internal/lab/simagent.go
+++ b/internal/lab/simagent.go
@@ -38,6 +38,13 @@
 		rng: rand.New(rand.NewPCG(s.day.Seed*64+uint64(i)+1, 0x6c697374))}
 }
 
+// toldOf reports whether the agent has been told of a node's present life. Choosers go by the list itself.
+func (a *simAgent) toldOf(n *simNode) bool {
+	return a.balancer == nil || n.Started < 0 || slices.ContainsFunc(a.known, func(e logic.Server) bool {
+		return e.ID == n.ID && e.Started == n.Started+moduleStart
+	})
+}
+
 // module gives a process its decisions.
 func (s *sim) module(a *simAgent) error {
 	text, err := json.Marshal(s.day.Settings(a.number))
--- a/internal/lab/simulate.go
+++ b/internal/lab/simulate.go
@@ -413,7 +413,9 @@
 	}
 	if n.Toppled() && !n.told {
 		n.told = true
-		s.referee.Toppled(n.ID, s.now)
+		if n.Blame() {
+			s.referee.Toppled(n.ID, s.now)
+		}
 	}
 	for _, d := range done {
 		t := s.waiting[ticket{n.number, d.Ticket}]
@@ -681,7 +683,8 @@
 	s.tickets++
 	at.ticket = ticket{n.number, s.tickets}
 	s.waiting[at.ticket] = at
-	verdict, ran := n.Offer(s.now, node.Work{Ticket: s.tickets, Key: t.journey.Key, Cost: t.journey.Work, Until: t.deadline})
+	verdict, ran := n.Offer(s.now, node.Work{Ticket: s.tickets, Key: t.journey.Key, Cost: t.journey.Work, Until: t.deadline,
+		Unsaid: !t.agent.toldOf(n)})
 	if ran {
 		s.referee.Began(t.id, n.ID, s.now)
 	}
--- a/internal/world/node/node_test.go
+++ b/internal/world/node/node_test.go
@@ -144,6 +144,24 @@
 	}
 }
 
+// Who pushed a cold node over is blamed only if most of it came from those who had been told that it is cold.
+func TestBlame(t *testing.T) {
+	for _, unsaid := range []int{0, 1, 2, 4} { // of four requests
+		spec := plain()
+		spec.Started, spec.Overload, spec.FallFor = 0, 2.5, 2*time.Second
+		n := New(spec, 1)
+		for i := range 40 {
+			n.Offer(time.Duration(i)*10*time.Millisecond, Work{Ticket: uint64(i + 1), Cost: 100 * time.Millisecond, Unsaid: i%4 < unsaid})
+		}
+		if !n.Toppled() || n.Blame() != (unsaid <= 1) {
+			t.Errorf("with %d of 4 sent by those who did not know: toppled %v, blame %v", unsaid, n.Toppled(), n.Blame())
+		}
+		if peak := n.Figures().ColdPeak; (peak > 1) != (unsaid <= 1) {
+			t.Errorf("with %d of 4 by those who did not know the most that it got is %.2f", unsaid, peak)
+		}
+	}
+}
+
 func TestReportsComeLate(t *testing.T) {
 	s := plain()
 	s.Report = Report{Period: 500 * time.Millisecond, Delay: 200 * time.Millisecond}
