--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,7 +34,7 @@
 	fullPrior   = 8    // outcomes without one that a new balancer is held to have seen
 	fullTimes   = 3.5  // times that share, by which refusals begin earlier
 	shedLeast   = 0.2  // but not below this mean time taken over aim
-	partFrom    = 0.8  // times as early where a balancer uses a part of the servers only
+	partFrom    = 0.9  // times as early where a balancer uses a part of the servers only
 	youngTimes  = 3    // mean age of what is in flight that the time to an answer is held to be at the most
 	shedSlope   = 6    // rise of the share refused with that mean
 	busyFrom    = 0.75 // reported use from which late answers are taken for a sign of a jam
