--- a/internal/agent/fleet_test.go
+++ b/internal/agent/fleet_test.go
@@ -83,15 +83,7 @@
 	}
 	f.calls, _ = w.Call(t.Context(), f.route, false, nil)
 	lives.Wait()
-	for _, c := range f.clients {
-		c.Close()
-	}
-	for i, stop := range f.stop {
-		stop()
-		if err := <-f.ended[i]; err != nil {
-			t.Errorf("agent %d: %v", i, err)
-		}
-	}
+	f.end()
 	f.judge(scene{service: least})
 	time.Sleep(2 * world.IdleLimit)
 	synctest.Wait()
--- a/internal/agent/scenes_test.go
+++ b/internal/agent/scenes_test.go
@@ -103,19 +103,24 @@
 		}()
 		s.calls, _ = w.Call(ctx, s.route, false, nil)
 		<-done
-		for _, c := range s.clients {
-			c.Close()
-		}
-		for i, stop := range s.stop {
-			stop()
-			if err := <-s.ended[i]; err != nil {
-				t.Errorf("agent %d: %v", i, err)
-			}
-		}
+		s.end()
 		s.judge(sc)
 	})
 }
 
+// end lets the clients leave and the agents end in order.
+func (s *stage) end() {
+	for _, c := range s.clients {
+		c.Close()
+	}
+	for i, stop := range s.stop {
+		stop()
+		if err := <-s.ended[i]; err != nil {
+			s.t.Errorf("agent %d: %v", i, err)
+		}
+	}
+}
+
 func (s *stage) judge(sc scene) {
 	a := s.Referee.Account()
 	for _, b := range s.Referee.Breaches() {
--- a/internal/agent/soak_test.go
+++ b/internal/agent/soak_test.go
@@ -97,14 +97,6 @@
 		if code := s.get(s.addrs[0], "/ready"); code != http.StatusOK {
 			t.Errorf("in the end /ready says %d", code)
 		}
-		for _, c := range s.clients {
-			c.Close()
-		}
-		for i, stop := range s.stop {
-			stop()
-			if err := <-s.ended[i]; err != nil {
-				t.Errorf("agent %d: %v", i, err)
-			}
-		}
+		s.end()
 	})
 }
