--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -384,6 +385,7 @@
 type peerFigures struct {
 	member.Counts
 	Facts     fleetstate.Figures `json:"facts"`
+	Digest    string             `json:"digest"`          // of the notices held: equal at agents whose copies agree
 	HeldBack  int64              `json:"held_back"`       // times that a server got nothing new on peers' word, before the own list's
 	Withheld  int64              `json:"doubts_withheld"` // looks at which this agent doubted most servers, and so itself
 	Forged    int64              `json:"forged"`          // suspicions that came in this agent's name and were taken back
@@ -395,5 +397,5 @@
 func (p *peers) figures() any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return peerFigures{p.member.Counts(), p.state.Figures(), p.saved.Load(), p.doubts.Withheld, p.forged.Load(), len(p.parts), p.member.Peers(), p.lag}
+	return peerFigures{p.member.Counts(), p.state.Figures(), strconv.FormatUint(p.state.Digest(time.Now()), 16), p.saved.Load(), p.doubts.Withheld, p.forged.Load(), len(p.parts), p.member.Peers(), p.lag}
 }
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
+	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -253,6 +256,17 @@
 	return out
 }
 
+// Digest is a hash of what is believed of servers' ends: equal where two replicas believe the same. Which two of several witnesses a
+// replica holds differs for longer, as it changes nothing, and suspicions live too short for all to hold the same at a moment.
+func (s *State) Digest(now time.Time) uint64 {
+	h := fnv.New64a()
+	said := s.Notices(now)
+	for _, l := range slices.SortedFunc(maps.Keys(said), func(a, b Life) int { return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Started, b.Started)) }) {
+		fmt.Fprintf(h, "%q %d %d\n", l.Server, l.Started, said[l])
+	}
+	return h.Sum64()
+}
+
 // Figures returns what it has done.
 func (s *State) Figures() Figures {
 	f := s.figures
--- a/internal/lab/views.go
+++ b/internal/lab/views.go
@@ -28,6 +28,8 @@
 	Refused     int64    `json:"facts_refused"`         // malformed, or too many of one agent
 	Evicted     int64    `json:"facts_evicted"`         // as a replica was full
 	Facts       int      `json:"facts_most"`            // held by an agent at once
+	Copies      int      `json:"copies_most"`           // different ones of what is known of servers' ends that agents held at a look
+	CopiesLast  int      `json:"copies_at_end"`         // likewise, at the last look
 }
 
 // Healed is how long the agents took to see all that are there after a fault had ended.
@@ -53,6 +55,7 @@
 type peerMetrics struct {
 	Names    []string `json:"names"`
 	Bytes    int64    `json:"bytes_sent"`
+	Digest   string   `json:"digest"`
 	HeldBack int64    `json:"held_back"`
 	Facts    struct {
 		Held    int   `json:"held"`
@@ -208,12 +211,40 @@
 			v.Facts = max(v.Facts, s.more.Facts.Held)
 		}
 	}
+	v.Copies, v.CopiesLast = copies(sights)
 	if v.Notices > 0 {
 		v.NoticeMean = float64(sum.Microseconds()) / 1e3 / float64(v.Notices)
 	}
 	return v
 }
 
+// copies is how many different copies of what is known of servers' ends the agents held, at the look with the most of them and at the
+// last that all took.
+func copies(sights [][]glance) (most, last int) {
+	looks := map[int]map[string]int{}
+	for _, each := range sights {
+		for _, s := range each {
+			n := int(s.at / lookAtPeers)
+			if looks[n] == nil {
+				looks[n] = map[string]int{}
+			}
+			looks[n][s.more.Digest]++
+		}
+	}
+	at := -1
+	for n, by := range looks {
+		most = max(most, len(by))
+		told := 0
+		for _, k := range by {
+			told += k
+		}
+		if told >= len(sights) && n > at {
+			at, last = n, len(by)
+		}
+	}
+	return most, last
+}
+
 // talkPlots are bytes a second of an agent, and how long the last agent took to see all others after a fault, against the number
 // of agents; none where fewer than two numbers were played.
 func talkPlots(outcomes []Outcome) []named {
