Cut no answer that comes just as the last of a long body has gone out

Made to happen: 12 processes of the test at once, -race, 10 of 72 plays failed, then 7 of 72. Checked: the agent's log (no drain, no loss of the server), the deadline (2 s; failures came within 0.1 s), kept connections of an earlier agent (each client of the test has a transport of its own): none of them. All failures were of the first size that is not held whole, with a length. Cause: exchange.go writeAll watches for an answer that does not wait for the rest of a body. A server that has read all may answer before the writer is back from its write; then Rest.Stop set the client's read deadline to now. net/http reads on in the background once a body is at its end, takes that deadline for a client that has left and ends the request's context, and front/http closes the answer's pipe. Change: Stop does nothing where all has been read; that and each deadline are set under one lock. It is on in run: a lost request.

--- a/internal/httpmsg/body.go
+++ b/internal/httpmsg/body.go
@@ -25,8 +25,11 @@
 	Limit func(time.Time) error // sets the time by which something must come
 	Began time.Time             // when its head had come
 
-	n           int64
-	interrupted atomic.Bool
+	n int64
+
+	mu          sync.Mutex // of what follows, and of setting the limit
+	whole       bool       // the end has been read
+	interrupted bool       // no read waits any more
 }
 
 func (in *Inflow) Read(p []byte) (int, error) {
@@ -35,17 +38,17 @@
 	if stall := now.Add(Stall); stall.Before(slowest) {
 		slowest = stall
 	}
-	if err := in.Limit(slowest); err != nil {
-		return 0, fmt.Errorf("setting the read deadline: %w", err)
-	}
-	if in.interrupted.Load() { // asked after the deadline was set, which else would undo the one that ends this
-		return 0, errRestClosed
+	if err := in.limit(slowest); err != nil {
+		return 0, err
 	}
 	n, err := in.From.Read(p)
 	if in.n += int64(n); in.n > MaxBody {
 		return 0, ErrTooLong
 	}
 	if err == io.EOF { // no read of the connection is late any more
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		in.whole = true
 		if err := in.Limit(time.Time{}); err != nil {
 			return n, fmt.Errorf("clearing the read deadline: %w", err)
 		}
@@ -53,6 +56,18 @@
 	return n, err
 }
 
+func (in *Inflow) limit(t time.Time) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.interrupted { // this would undo the deadline that ends it
+		return errRestClosed
+	}
+	if err := in.Limit(t); err != nil {
+		return fmt.Errorf("setting the read deadline: %w", err)
+	}
+	return nil
+}
+
 // Body is a request's body: what is held of it and, where that is not all, what still comes from the client.
 type Body struct {
 	Held   []byte
@@ -104,10 +119,16 @@
 	return r.spent, err
 }
 
-// Stop ends the reading, also a read that waits: the server wants no more.
+// Stop ends the reading, also a read that waits: the server wants no more. Where all has been read it does nothing: net/http reads
+// on in the background from then on, and takes a deadline there for a client that has left.
 func (r *Rest) Stop() {
+	r.From.mu.Lock()
+	defer r.From.mu.Unlock()
+	if r.From.whole {
+		return
+	}
 	r.stopped.Store(true)
-	r.From.interrupted.Store(true)
+	r.From.interrupted = true
 	r.From.Limit(time.Now()) // fails only where there is no connection any more
 }
 
@@ -115,7 +136,9 @@
 // answer on a connection that was closed under it.
 func (r *Rest) Drain() {
 	r.Close()
-	r.From.interrupted.Store(false)
+	r.From.mu.Lock()
+	r.From.interrupted = false
+	r.From.mu.Unlock()
 	io.Copy(io.Discard, r.From)
 }
 
