Let any peer be the one that reaches the others again, in the test of a healed cut

Seen: TestPeersPartAndMeetAgain failed once in nine runs here, and in 2 of 80 under load: the first peer's `Rejoined` was 0 though all saw all. Cause: the test asked that of the first peer, which has no seed; after a cut any of the others may reach it first. Change: the sum over all peers has to grow once the cut is over.

--- a/internal/fleetstate/member/member_test.go
+++ b/internal/fleetstate/member/member_test.go
@@ -142,12 +142,20 @@
 	peers[0].Tell(peers[0].put("b", "p0"))
 	peers[3].Tell(peers[3].put("c", "p3"))
 	eventually(t, "each side goes on", func() bool { return len(peers[1].Whole()) == 2 && len(peers[2].Whole()) == 2 })
+	reached := func() (sum int64) {
+		for _, p := range peers {
+			sum += p.Counts().Rejoined
+		}
+		return sum
+	}
+	before := reached()
 	cut(false)
 	eventually(t, "all see all again", see(3))
 	eventually(t, "all hold all", hold(3))
-	if c := peers[0].Counts(); c.BytesSent == 0 || c.Malformed != 0 || c.Lost < 2 || c.Rejoined == 0 {
+	if c := peers[0].Counts(); c.BytesSent == 0 || c.Malformed != 0 || c.Lost < 2 {
 		t.Errorf("%+v", c)
 	}
+	eventually(t, "who reached the others again counts that", func() bool { return reached() > before }) // any of them may
 	peers[0].hear([]byte{0xc1, 0xff})
 	if peers[0].Counts().Malformed != 1 {
 		t.Error("what can't be read is not counted")
