Ask for the list so that no change is unheard 6 s after it could be had, in any fleet

At fault: the first call of a large fleet was spread over 9 s, watches waited for up to 55 s (15 s in a fleet of 300), calls after an outage were spread over 36 s, and the module waited for up to 15 s. Now a watch waits for 3 s and one that fell silent is made up for within 6 s; a call that failed is made again within 3 s (logic.Settings.AskAgain, which the simulator does not set); the first call comes within 1 s. Agents that know a list ask for what has changed since, also in small fleets: half the calls at a start. Where calls are turned away or answered late a watch waits twice as long, up to 50 ms an agent, and then less again, so that a discovery which can't keep up is not swamped.

--- a/internal/config/platform/platform.go
+++ b/internal/config/platform/platform.go
@@ -149,6 +149,8 @@
 	}
 	// On sockets any refusal may carry Retry-After, also where the simulator's clients are given none.
 	site.Logic.MaxRetryAfter = site.MaxRetryAfter
+	// Nor is anybody there allowed four times the usual time after a call that failed.
+	site.Logic.AskAgain = discovery.AskAgain
 	return site, nil
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -20,32 +20,42 @@
 	"ryeweir/logic"
 )
 
-// Times of the calls to discovery. A change counts as told 2 s after the wait of a watch is over, so silence
-// must be noticed before that; and a watch is a new one when the next call comes 200 ms late.
+// Times of the calls to discovery. Whatever it has to tell counts as told toldAfter it could be had, or lateAfter the wait of a watch
+// where that is later: by then a watch that has fallen silent must have been given up and what it missed be here. A call that failed
+// is made again within half of that time. A watch is a new one when the next call comes 200 ms late.
 const (
-	watchWait   = time.Second             // how long a watch may wait for news
-	callTimeout = 1500 * time.Millisecond // for an answer, past that wait
-	retryPause  = 250 * time.Millisecond  // after a call that failed, twice as long with each further one
+	toldAfter   = 6 * time.Second
+	lateAfter   = 2 * time.Second
+	callTimeout = 1500 * time.Millisecond // for an answer to a call that does not wait
+	retryPause  = 500 * time.Millisecond  // at most, after a call that failed; twice as long with each further one
 	mostPauses  = 4                       // doublings of that
+	mostPause   = toldAfter / 2           // but never for longer
 	firstWait   = 500 * time.Millisecond  // for the first list, before one from an earlier life is used
 	earlyPause  = 100 * time.Millisecond  // after a watch that came back early with no news
 	longestList = 1 << 20
 )
 
-// All agents share one discovery, which serves their calls in turn and turns them away when too many wait. In a large
-// fleet watches therefore wait for longer, and first calls are spread over that time. A watch goes on at once all the
-// same: what changes just after it counts as told. A call given up while it waits in the queue was waited for in vain.
+// AskAgain is within which an agent whose call has failed must ask again.
+const AskAgain = mostPause
+
+// All agents share one discovery, which serves their calls in turn and turns them away when too many wait. Calls that come
+// together, at a start or the end of an outage, are spread a little in a large fleet. And a watch waits for longer, up to a limit by
+// the fleet's size, once calls are turned away or answered late. It goes on at once all the same: what changes just after it
+// counts as told.
 const (
-	usualFleet   = 8 // agents up to which none of this is needed
-	watchEach    = 250 * time.Millisecond
-	longestWatch = 9 * time.Second
-	hugeWatch    = 50 * time.Millisecond   // for each agent of a fleet for which that is not enough
-	mostWatch    = 55 * time.Second        // discovery lets a watch wait for a minute
-	rushEach     = 80 * time.Millisecond   // of the time in which all come back after an outage, for each agent
-	mostRush     = 36 * time.Second        // who has not asked again for 40 s after a failed call is held to know all there is
-	queueTimeout = 2200 * time.Millisecond // in place of callTimeout
+	usualFleet = 8                      // agents up to which none of this is needed
+	rushEach   = 10 * time.Millisecond  // of the time in which all come, for each agent
+	mostSpread = toldAfter / 6          // of it at a start, as an agent begins with what it knew
+	watchEach  = 50 * time.Millisecond  // of the longest wait of a watch, for each agent
+	mostWatch  = 55 * time.Second       // discovery lets a watch wait for a minute
+	lateAnswer = 100 * time.Millisecond // past its wait a watch's answer shows that discovery is full
+	moreWait   = 2.0                    // times that the next watch waits then,
+	lessWait   = 0.97                   // and after an answer in time
 )
 
+// Watch is how long a watch may wait for news, in a fleet whose discovery keeps up.
+const Watch = toldAfter / 2
+
 // List is a list of servers or a change of it, in discovery's form.
 type List struct {
 	Version int64             `json:"version"`
@@ -110,8 +120,9 @@
 	// Those of the goroutine that runs:
 	rng     *rand.Rand
 	pace    Pace
-	fails   int    // calls that failed in a row
-	at      string // the address that is followed
+	fails   int           // calls that failed in a row
+	wait    time.Duration // of the next watch
+	at      string        // the address that is followed
 	version int64
 	have    map[string]core.Member
 	badOnce bool
@@ -125,6 +136,7 @@
 	}
 	d := &Client{
 		pace:      PaceOf(cfg.Agents),
+		wait:      Watch,
 		addr:      cfg.Addr,
 		drop:      func() {},
 		at:        cfg.Addr,
@@ -140,27 +152,26 @@
 		have:      map[string]core.Member{},
 		version:   -1,
 	}
-	if cfg.Agents > usualFleet && len(d.known.Servers) > 0 { // changes are all that is asked for
+	if (cfg.Asked || cfg.Agents > usualFleet) && len(d.known.Servers) > 0 { // changes are all that is asked for
 		d.version = d.known.Version
 	}
 	return d
 }
 
-// Pace is how often an agent asks.
+// Pace is how the calls of a fleet that come together are spread.
 type Pace struct {
-	Wait    time.Duration // of a watch, for news
-	Timeout time.Duration // for an answer, past that
-	Spread  time.Duration // the first call comes within this, where a list is known
-	Rush    time.Duration // calls after one that failed come within this at least: all agents' fail together
+	Spread time.Duration // the first call comes within this, where a list is known
+	Rush   time.Duration // calls after one that failed come within this at least: all agents' fail together
+	Most   time.Duration // that a watch waits for news when discovery is full
 }
 
-// PaceOf is the pace of one agent of a fleet: the larger, the slower, as all share one discovery.
+// PaceOf is the pace of one agent of a fleet.
 func PaceOf(agents int) Pace {
 	if agents <= usualFleet {
-		return Pace{Wait: watchWait, Timeout: callTimeout}
+		return Pace{Most: Watch}
 	}
-	wait := max(min(longestWatch, time.Duration(agents)*watchEach), min(mostWatch, time.Duration(agents)*hugeWatch))
-	return Pace{Wait: wait, Timeout: queueTimeout, Spread: min(wait, longestWatch), Rush: min(mostRush, time.Duration(agents)*rushEach)}
+	rush := time.Duration(agents) * rushEach
+	return Pace{Spread: min(mostSpread, rush), Rush: min(mostPause, rush), Most: max(Watch, min(mostWatch, time.Duration(agents)*watchEach))}
 }
 
 // Ask subscribes to the list. A subscription that waits to begin is enough.
@@ -188,7 +199,7 @@
 	if !d.asked { // else the module says when to ask
 		soon, cancel := context.WithTimeout(ctx, firstWait)
 		defer cancel()
-		if d.call(soon, "", 0) == nil {
+		if d.call(soon, "", callTimeout) == nil {
 			return
 		}
 	}
@@ -257,12 +268,9 @@
 			d.sink.ListUnavailable()
 			continue
 		}
-		if pause := 2 * retryPause << min(d.fails, mostPauses); pause >= d.pace.Rush {
-			d.pause(ctx, pause)
-		} else {
-			sleep(ctx, d.pace.Rush/2)
-			d.pause(ctx, d.pace.Rush/2)
-		}
+		pause := min(mostPause, max(d.pace.Rush, retryPause<<min(d.fails, mostPauses)))
+		sleep(ctx, pause/4)
+		d.pause(ctx, pause*3/4)
 		d.fails++
 	}
 }
@@ -271,30 +279,42 @@
 // one: then what has changed since is all that is missing, and discovery has half the work.
 func (d *Client) follow(ctx context.Context) error {
 	if d.version < 0 {
-		if err := d.call(ctx, "", 0); err != nil {
+		if err := d.call(ctx, "", callTimeout); err != nil {
 			return err
 		}
 	}
 	for {
-		before, began := d.version, time.Now()
-		wait := d.pace.Wait
-		if d.down && d.pace.Wait <= longestWatch { // whether it is back shows soon; in a huge fleet that would double the calls
-			wait = watchWait
+		before, began, wait := d.version, time.Now(), d.wait
+		left := max(toldAfter, wait+lateAfter) - wait // after its wait, until what it missed counts as told
+		err := d.call(ctx, d.watch(wait), wait+left/2)
+		took := time.Since(began)
+		if err != nil || took > wait+lateAnswer {
+			d.wait = min(d.pace.Most, time.Duration(moreWait*float64(wait)))
+		} else {
+			d.wait = max(Watch, time.Duration(lessWait*float64(wait)))
 		}
-		query := fmt.Sprintf("?since=%d&timeout_ms=%d", d.version, wait.Milliseconds())
-		if err := d.call(ctx, query, wait); err != nil {
+		if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil { // it has fallen silent
+			d.log.Info("a watch has fallen silent", "version", d.version)
+			err = d.call(ctx, d.watch(0), left/2)
+		}
+		if err != nil {
 			return err
 		}
 		// A watch that does not wait must not be called again in a tight loop.
-		if d.version == before && time.Since(began) < watchWait/2 {
+		if d.version == before && took < Watch/2 {
 			sleep(ctx, earlyPause)
 		}
 	}
 }
 
-// call makes one call and takes in what it brings.
-func (d *Client) call(ctx context.Context, query string, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+d.pace.Timeout)
+// watch is the query of a call that waits for so long for what is newer than the list.
+func (d *Client) watch(wait time.Duration) string {
+	return fmt.Sprintf("?since=%d&timeout_ms=%d", d.version, wait.Milliseconds())
+}
+
+// call makes one call, which has so long for its answer, and takes in what that brings.
+func (d *Client) call(ctx context.Context, query string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.at+"/v1/endpoints"+query, nil)
 	if err != nil {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,14 +21,19 @@
 
 // follower is a discovery client whose events a test reads. It has the list of an earlier life, and so many agents beside it.
 func follower(t *testing.T, url string, agents int, known string, log io.Writer) (*Client, sink) {
+	t.Helper()
+	return newFollower(t, Config{Addr: url, Agents: agents, Log: slog.New(slog.NewTextHandler(log, nil))}, known)
+}
+
+func newFollower(t *testing.T, cfg Config, known string) (*Client, sink) {
 	t.Helper()
 	l, err := ParseList([]byte(known))
 	if err != nil {
 		t.Fatal(err)
 	}
 	events := make(sink, 100)
-	return New(Config{Addr: url, Agents: agents, Known: l, Zones: []string{"edinburgh-dc"}, Seed: 1, Clock: core.NewClock(), Sink: events,
-		Log: slog.New(slog.NewTextHandler(log, nil))}), events
+	cfg.Known, cfg.Zones, cfg.Seed, cfg.Clock, cfg.Sink = l, []string{"edinburgh-dc"}, 1, core.NewClock(), events
+	return New(cfg), events
 }
 
 // follow runs it until the test ends.
@@ -219,8 +224,7 @@
 // fleet gives a follower the settings of a fleet of so many agents, and the list of an earlier life.
 func fleet(t *testing.T, url string, agents int, known string) (*Client, sink) {
 	t.Helper()
-	d, events := follower(t, url, agents, known, io.Discard)
-	d.asked = true // so that the known list comes first
+	d, events := newFollower(t, Config{Addr: url, Agents: agents, Asked: true, Log: slog.New(slog.DiscardHandler)}, known)
 	d.Ask()
 	return d, events
 }
@@ -247,15 +251,22 @@
 	}
 }
 
-// A usual fleet goes on as before, with the whole list first; in a large one watches wait for longer, up to a limit
-// within which an agent is not held to know more than it was told.
+// In a fleet of any size a change is here by the time from which it counts as told: calls at a start and after one that failed are
+// spread over less than half of it, and no watch waits for longer than that unless discovery is full. A usual fleet is not spread.
 func TestFleetSizes(t *testing.T) {
-	for agents, want := range map[int]time.Duration{1: watchWait, usualFleet: watchWait, 20: 5 * time.Second, 48: longestWatch,
-		180: longestWatch, 400: 20 * time.Second, 2000: mostWatch} {
+	for _, agents := range []int{1, usualFleet, 20, 48, 300, 2000, 100000} {
 		d, _ := fleet(t, "127.0.0.1:1", agents, testkit.ListText(41, true, testkit.EntryText("s-1", "127.0.0.1:1", "Ready", 0)))
-		if large := want > watchWait; d.pace.Wait != want || (d.version < 0) == large || (d.pace.Spread > 0) != large {
-			t.Errorf("%d agents: watches of %v, from version %d", agents, d.pace.Wait, d.version)
+		large := agents > usualFleet
+		if p := d.pace; (p.Spread > 0) != large || (p.Rush > 0) != large || p.Spread+callTimeout > toldAfter/2 || p.Rush > toldAfter/2 ||
+			p.Most < Watch || !large && p.Most > Watch || p.Most > mostWatch {
+			t.Errorf("%d agents: %+v", agents, p)
 		}
+		if d.version != 41 || d.wait != toldAfter/2 {
+			t.Errorf("%d agents begin from version %d with a watch of %v", agents, d.version, d.wait)
+		}
+	}
+	if AskAgain > toldAfter/2 {
+		t.Errorf("a call that failed is made again after %v", AskAgain)
 	}
 }
 
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -6,8 +6,11 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +39,13 @@
 	}
 }
 
+func (s *told) when(key string) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.at[key]
+	return at, ok
+}
+
 // As agents multiply each calls less often, all are told of a drain soon all the same, and an outage of a minute in which
 // servers are replaced ends with all of them told, without a rush that discovery would turn away.
 func TestListsAcrossAFleet(t *testing.T) {
@@ -122,13 +132,123 @@
 	refused := after.Refused - before.Refused
 	t.Logf("the last was told %v after the outage, %d calls were turned away in the time after it", worst, refused)
 	// Who comes back while discovery is full waits again.
-	if worst > 10*time.Second+4*min(mostRush, time.Duration(agents)*rushEach) {
+	if worst > toldAfter+2*time.Duration(agents)*time.Second/rate {
 		t.Errorf("the last agent was told %v after the outage", worst)
 	}
-	if refused > agents {
+	if refused > 2*agents { // they ask within half of the time after which they count as told, however many they are
 		t.Errorf("%d calls turned away after the outage", refused)
 	}
 	stop()
 	all.Wait()
 	server.Close()
 }
+
+// scripted runs a client of a discovery in memory whose answers a test writes: to the n-th call, from 0; it answers nothing where
+// the test returns nothing.
+func scripted(t *testing.T, asked bool, answer func(n int, call *http.Request) (status int, body string)) *told {
+	network := link.NewNetwork(1)
+	l, err := network.Listen("discovery:80")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var calls atomic.Int64
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		status, body := answer(int(calls.Add(1)-1), r)
+		if status == 0 {
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(status)
+		io.WriteString(w, body)
+	})}
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(l) }()
+	known, err := ParseList([]byte(`{"version":16,"full":true,"servers":[{"id":"s0","addr":"127.0.0.1:1","zone":"a","state":"Ready","weight":1}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := &told{at: map[string]time.Time{}}
+	c := New(Config{Addr: "discovery:80", Agents: 300, Known: known, Zones: []string{"a"}, Seed: 1, Clock: core.NewClock(), Sink: seen,
+		Asked: asked, Dial: func(ctx context.Context, n, addr string) (net.Conn, error) {
+			return network.Dialer("agent")(ctx, n, addr)
+		},
+		Log: slog.New(slog.DiscardHandler)})
+	c.Ask()
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { c.Run(ctx); close(done) }()
+	t.Cleanup(func() {
+		stop()
+		<-done
+		srv.Close()
+		<-served
+		time.Sleep(toldAfter) // for the answers under way
+	})
+	return seen
+}
+
+const drains = `{"version":17,"full":false,"servers":[{"id":"s0","addr":"127.0.0.1:1","zone":"a","state":"Terminating","weight":1}]}`
+const nothing = `{"version":16,"full":false,"servers":[]}`
+
+// What a watch that has fallen silent has missed is here 6 s after, wherever in the watch that was, and however often it happens.
+func TestSilentWatchIsMadeUpFor(t *testing.T) {
+	for _, asked := range []bool{false, true} {
+		for _, quiet := range []int{0, 1, 5} { // watches that end well before
+			t.Run(fmt.Sprintf("asked %v, after %d", asked, quiet), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var silentFrom atomic.Pointer[time.Time]
+					seen := scripted(t, asked, func(n int, call *http.Request) (int, string) {
+						wait, err := strconv.Atoi(call.URL.Query().Get("timeout_ms"))
+						switch {
+						case err != nil: // the whole list
+							return http.StatusOK, `{"version":16,"full":true,"servers":[{"id":"s0","addr":"127.0.0.1:1","zone":"a","state":"Ready","weight":1}]}`
+						case n < quiet:
+							time.Sleep(time.Duration(wait) * time.Millisecond)
+							return http.StatusOK, nothing
+						case silentFrom.Load() == nil:
+							now := time.Now()
+							silentFrom.Store(&now)
+							return 0, ""
+						}
+						time.Sleep(time.Second) // as long as its queue is
+						return http.StatusOK, drains
+					})
+					time.Sleep(time.Minute)
+					synctest.Wait()
+					from := silentFrom.Load()
+					if from == nil {
+						t.Fatal("the watch that falls silent was not reached within a minute")
+					}
+					at, ok := seen.when("s0" + fmt.Sprint(logic.Draining))
+					if took := at.Sub(*from); !ok || took > toldAfter {
+						t.Errorf("told %v, %v after the silence began", ok, took)
+					}
+				})
+			})
+		}
+	}
+}
+
+// An agent whose calls were turned away is told within 6 s of when it could have been, however long that has lasted.
+func TestToldSoonAfterAnOutage(t *testing.T) {
+	for _, outage := range []time.Duration{time.Second, 8 * time.Second, 50 * time.Second, 10 * time.Minute} {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ends := time.Now().Add(outage)
+				seen := scripted(t, false, func(int, *http.Request) (int, string) {
+					if time.Now().Before(ends) {
+						return http.StatusServiceUnavailable, ""
+					}
+					time.Sleep(time.Second) // as long as its queue is
+					return http.StatusOK, drains
+				})
+				time.Sleep(outage + time.Minute)
+				synctest.Wait()
+				at, ok := seen.when("s0" + fmt.Sprint(logic.Draining))
+				if !ok || at.Sub(ends) > toldAfter {
+					t.Errorf("told %v, %v after the outage", ok, at.Sub(ends))
+				}
+			})
+		})
+	}
+}
--- a/internal/lab/simagent.go
+++ b/internal/lab/simagent.go
@@ -230,7 +230,7 @@
 			a.watching = true
 			s.news(a)
 			since := a.version
-			s.at(s.now+pace.Wait, func() {
+			s.at(s.now+discovery.Watch, func() {
 				if a.watching && a.version == since && !a.gone {
 					a.watching = false
 					s.watch(a, pace)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -777,6 +777,16 @@
 				t.Errorf("asks again after %v, must within %v", a.After, set.MustAskIn)
 			}
 		}
+		set.AskAgain, set.Balancers = 400*time.Millisecond, 300 // nor, however large the fleet is, by a time of its own
+		again, _ := New(set, seed)
+		var waits []time.Duration
+		for range 2 * mostWaits {
+			a := fail(again)
+			if a.After > set.AskAgain || slices.Contains(waits, a.After) {
+				t.Errorf("asks again after %v, must within %v, and at different times: %v", a.After, set.AskAgain, waits)
+			}
+			waits = append(waits, a.After)
+		}
 		if last := fail(b); last.After <= first.After {
 			t.Errorf("the wait does not grow: %v, then %v", first.After, last.After)
 		}
--- a/logic/members.go
+++ b/logic/members.go
@@ -63,6 +63,9 @@
 	// A large fleet waits for longer, so that discovery comes to an end with the calls it has.
 	crowd := min(mostCrowd, max(1, float64(b.set.Balancers)/usualFleet))
 	wait := crowd * float64(b.horizon) * math.Exp2(float64(min(b.tries, mostWaits)))
+	if b.set.AskAgain > 0 {
+		wait = min(wait, float64(b.set.AskAgain)*4/3)
+	}
 	wait *= (0.5 + b.rng.Float64()) / 2
 	if b.tries++; b.set.MustAskIn > 0 { // who asks in vain has four times this to ask again
 		wait = min(wait, crowd*float64(b.set.MustAskIn)/2)
