Let a connection rest 10 ms after an answer, so that a late second one passes for no other's

At fault: pool/table.go, which hands out first what came back last, and what comes free to who waits in the same instant. What has come before is found out by a look at the socket; what comes after the next request is written can't be told from its answer. Now what has brought an answer is not handed out for 10 ms. Who wants a connection gets another, or waits for the rest of this one, which is sooner over than a handshake and costs the server nothing; no handshake is begun beside it.

The test of any history of the table knows the rests; its check that nobody waits while a handshake could begin counts them.

--- a/internal/agent/stages_test.go
+++ b/internal/agent/stages_test.go
@@ -375,6 +375,34 @@
 	}
 }
 
+// A second answer that comes some milliseconds late is no answer to the next request, also where that comes at once.
+func TestLateSecondAnswer(t *testing.T) {
+	for _, late := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond} {
+		t.Run(late.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDesk(t, []peer.Step{peer.Request(), peer.Send(peer.OK("first")), peer.Wait(late), peer.Send(peer.OK("first")),
+					peer.Forever(peer.Request(), peer.Send(peer.OK("behind")))}, fine())
+				defer d.close()
+				c := d.client(asks("GET", "/price-basket", 0))
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for _, want := range []string{"first", "fine"} {
+					resp, err := http.ReadResponse(in, nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if body, err := io.ReadAll(resp.Body); string(body) != want || err != nil {
+						t.Errorf("%q in place of %q, %v", body, want, err)
+					}
+					if want == "first" {
+						io.WriteString(c, asks("GET", "/price-basket", 0))
+					}
+				}
+			})
+		})
+	}
+}
+
 // A tenant that does all that the protocol allows: what another one notices beside it. Nobody is refused, sent elsewhere for it, or
 // made to wait, no healthy backend is held to be ill, and what it costs in connections is its own.
 func TestTenantThatMisbehaves(t *testing.T) {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -378,6 +378,8 @@
 			f.carry(a, act.Slot, c)
 		case pool.Refuse:
 			delete(a.waiting, act.Waiter)
+		case pool.Rest:
+			f.at(f.now+act.After, func() { f.do(a, a.table.Rested(f.now, act.Slot)) })
 		}
 	}
 }
--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -47,7 +47,7 @@
 // Servers that close earlier than the settings say lose fewer requests to an agent that learns.
 func TestFleetLearns(t *testing.T) {
 	spec := smallFleet(t, "closes = \"3s\"\nrtt = \"20ms\"\n[[fleet_arm]]\nname = \"learns\"\n[[fleet_arm]]\nname = \"trusts\"\n[fleet_arm.connections]\nidle_least = \"10s\"\nsure_part = 1.0\n")
-	spec.Length = config.Duration(30 * time.Second)
+	spec.Length = config.Duration(300 * time.Second) // in 30 s an arm has one such close or none
 	f, err := Fleet(&spec, io.Discard)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -287,10 +287,19 @@
 			a.Slot.Conn.Close()
 		case Hand, Refuse:
 			a.Waiter.Answer <- a
+		case Rest:
+			time.AfterFunc(a.After, func() { p.rested(a.Slot) })
 		}
 	}
 }
 
+// rested tells the table that a slot has rested. After the pool has closed that changes nothing.
+func (p *Pool) rested(s *Slot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.carryOut(p.table.Rested(p.cfg.Clock.Now(), s))
+}
+
 // connect does a slot's handshake.
 func (p *Pool) connect(s *Slot) {
 	ctx, cancel := context.WithTimeout(p.ctx, p.cfg.ConnectIn)
--- a/internal/pool/settings.go
+++ b/internal/pool/settings.go
@@ -30,6 +30,9 @@
 	AgeJitter float64       // the part of MaxAge by which connections' ages are spread, 0 to 1
 	MaxUses   int           // requests on one connection; 0: any number
 
+	// Rest is how long a connection stays unused after an answer: a server may send a second one some milliseconds late.
+	Rest time.Duration
+
 	Idle      time.Duration // servers close what is idle for longer
 	IdlePart  float64       // of that a connection is used, as a request that crosses the close is lost with it
 	IdleLeast time.Duration // the limit that is learnt never falls below
@@ -53,7 +56,7 @@
 	return Settings{
 		Most: most, PerNode: max(1, most/4), Opening: max(4, most/4), OpeningPerNode: max(2, most/8),
 		Waiting: max(1, most), Wait: time.Second,
-		IdlePart: 0.8, Idle: 10 * time.Second, IdleLeast: 250 * time.Millisecond, IdleHeal: 30 * time.Second, SurePart: 0.5,
+		Rest: 10 * time.Millisecond, IdlePart: 0.8, Idle: 10 * time.Second, IdleLeast: 250 * time.Millisecond, IdleHeal: 30 * time.Second, SurePart: 0.5,
 		SuspectFailures: 2, SuspectWithin: 10 * time.Second, SuspectClose: true,
 		AheadMost: 2, Agents: 1,
 	}
@@ -64,6 +67,8 @@
 	switch {
 	case s.Most < 1 || s.PerNode < 1 || s.Opening < 1 || s.OpeningPerNode < 1 || s.Waiting < 0:
 		return errors.New("there must be room for a connection and a handshake")
+	case s.Rest < 0:
+		return errors.New("the rest after an answer must not be below 0")
 	case s.Wait <= 0 || s.Idle <= 0 || s.IdleLeast <= 0 || s.IdleHeal <= 0 || s.SuspectWithin <= 0:
 		return errors.New("the times to wait, to stand idle, to heal and to count failures must be above 0")
 	case s.IdlePart <= 0 || s.IdlePart > 1 || s.SurePart < 0 || s.SurePart > 1 || s.AgeJitter < 0 || s.AgeJitter > 1:
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -35,6 +35,7 @@
 	retired  bool
 	places   int // slots open or opening
 	opening  int
+	resting  int       // idle slots that are for who waits, once they have rested
 	idle     []*Slot   // those that came back first come first
 	waiters  []*Waiter // oldest first
 
@@ -61,6 +62,8 @@
 	ends     time.Duration // its age limit; 0: none
 	uses     int
 	came     time.Duration // when it came back idle
+	answered time.Duration // when it last brought an answer; 0: never
+	resting  bool          // is for who waits, once it has rested
 	proven   time.Duration // when its latest exchange ended in order, or it came up
 	stood    time.Duration // how long it had been idle when it was handed out; 0 when fresh
 	inUse    bool
@@ -86,6 +89,7 @@
 	Close              // Slot, for Why
 	Hand               // Slot to Waiter
 	Refuse             // Waiter, for Why
+	Rest               // Slot, After which Rested is called
 )
 
 // Why is the reason of a Close or a Refuse.
@@ -119,6 +123,7 @@
 	Slot   *Slot
 	Waiter *Waiter
 	Why    Why
+	After  time.Duration
 }
 
 // How says how an exchange left its connection.
@@ -206,6 +211,7 @@
 	t.turns++
 	n.waiters = append(n.waiters, w)
 	t.waiting++
+	t.rest(now, n)
 	before := t.opening
 	t.fill(now)
 	if t.opening == before {
@@ -297,7 +303,7 @@
 	n := s.Node
 	switch how {
 	case InOrder:
-		s.proven = now
+		s.proven, s.answered = now, now
 		n.failures = n.failures[:0]
 		n.outlived(now, s.stood, t.set.IdleHeal)
 		t.free(now, s)
@@ -319,6 +325,17 @@
 	return t.actions
 }
 
+// Rested says that a slot has rested for as long as a Rest asked for.
+func (t *Table) Rested(now time.Duration, s *Slot) []Action {
+	t.begin()
+	if s.resting {
+		t.rises(s)
+		t.give(now, s)
+		t.fill(now)
+	}
+	return t.actions
+}
+
 // Sweep closes what has grown old, and opens what will be needed. stale are idle slots that were found closed.
 func (t *Table) Sweep(now time.Duration, stale []*Slot) []Action {
 	t.begin()
@@ -365,6 +382,9 @@
 	var best, unsure *Slot
 	for i := len(n.idle) - 1; i >= 0; i-- {
 		s := n.idle[i]
+		if s.resting || t.young(now, s) {
+			continue
+		}
 		if why, ends := t.expired(now, s); ends {
 			t.close(s, why)
 			continue
@@ -436,6 +456,7 @@
 		return
 	}
 	s.takeable = false
+	t.rises(s)
 	t.idle--
 	i := slices.Index(s.Node.idle, s)
 	s.Node.idle = slices.Delete(s.Node.idle, i, i+1)
@@ -461,6 +482,41 @@
 	n.idle = append(n.idle, s)
 	s.takeable = true
 	t.idle++
+	if t.young(now, s) {
+		t.rest(now, n)
+		return
+	}
+	t.give(now, s)
+}
+
+// young reports whether a slot has had an answer just now: behind that more may come that belongs to no request, and would pass
+// for the answer of the next one. After a rest such a slot is found out before it is used.
+func (t *Table) young(now time.Duration, s *Slot) bool {
+	return s.answered > 0 && now-s.answered < t.set.Rest
+}
+
+// rest lets young slots rest for those who wait, a slot each: that is sooner over than a handshake, and costs the server nothing.
+func (t *Table) rest(now time.Duration, n *Node) {
+	for _, s := range n.idle {
+		if n.resting < len(n.waiters) && !s.resting && t.young(now, s) {
+			s.resting = true
+			n.resting++
+			t.act(Action{Kind: Rest, Slot: s, After: s.answered + t.set.Rest - now})
+		}
+	}
+}
+
+// rises ends a slot's rest.
+func (t *Table) rises(s *Slot) {
+	if s.resting {
+		s.resting = false
+		s.Node.resting--
+	}
+}
+
+// give hands an idle slot to the first of those who wait that may have it.
+func (t *Table) give(now time.Duration, s *Slot) {
+	n := s.Node
 	for i, w := range n.waiters {
 		if w.careful && s.proven < n.suspect {
 			continue
@@ -561,7 +617,7 @@
 	for t.waiting > 0 {
 		var best *Node
 		for _, n := range t.nodes {
-			if len(n.waiters) <= n.opening || !t.room(n) {
+			if len(n.waiters) <= n.opening+n.resting || !t.room(n) {
 				continue
 			}
 			if best == nil || n.places < best.places || n.places == best.places && n.waiters[0].turn < best.waiters[0].turn {
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	over    map[*Node]bool // lives that have ended
 	opening []*Slot
 	used    []*Slot
+	rests   []*Slot // that Rested is to be called for
 	open    map[*Slot]bool
 	waiting map[*Waiter]bool
 }
@@ -40,6 +42,11 @@
 			h.answered(a.Waiter)
 		case Refuse:
 			h.answered(a.Waiter)
+		case Rest:
+			if a.After <= 0 || a.After > h.set.Rest {
+				h.t.Fatalf("a rest of %v", a.After)
+			}
+			h.rests = append(h.rests, a.Slot)
 		}
 	}
 }
@@ -63,6 +70,9 @@
 			h.t.Fatal("handed out twice")
 		}
 	}
+	if s.answered > 0 && h.now-s.answered < h.set.Rest {
+		h.t.Fatal("a connection that has brought an answer just now")
+	}
 	if careful && s.proven < n.suspect {
 		h.t.Fatal("a suspect connection for what must not repeat")
 	}
@@ -81,9 +91,21 @@
 		if n.places > h.set.PerNode || n.opening > h.set.OpeningPerNode {
 			h.t.Fatalf("over a cap of a server: %d places, %d opening", n.places, n.opening)
 		}
-		if len(n.waiters) > n.opening && h.table.room(n) {
+		if len(n.waiters) > n.opening+n.resting && h.table.room(n) {
 			h.t.Fatal("somebody waits and a handshake could begin")
 		}
+		resting := 0
+		for _, s := range n.idle {
+			if s.resting {
+				resting++
+				if !slices.Contains(h.rests, s) {
+					h.t.Fatal("a connection rests for somebody who waits, and nothing ends that")
+				}
+			}
+		}
+		if resting != n.resting {
+			h.t.Fatalf("%d connections rest, it counts %d", resting, n.resting)
+		}
 		if !n.ready && (len(n.waiters) > 0 || len(n.idle) > 0) {
 			h.t.Fatal("something waits for, or is kept to, a server that takes nothing new")
 		}
@@ -180,6 +202,12 @@
 				h.set.Most, h.set.PerNode = h.set.Most+1, h.set.PerNode+1
 				h.do(h.table.Configure(h.now, h.set))
 			},
+			"rested": func(t *rapid.T) {
+				if s, ok := take(t, &h.rests); ok {
+					h.now = max(h.now, s.answered+h.set.Rest)
+					h.do(h.table.Rested(h.now, s))
+				}
+			},
 			"sweep": func(t *rapid.T) { h.do(h.table.Sweep(h.now, nil)) },
 			"time":  func(t *rapid.T) { h.now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond },
 			"":      func(t *rapid.T) { h.check() },
@@ -210,6 +238,7 @@
 
 func newBench(t *testing.T, change func(*Settings)) (*bench, *Node) {
 	set := DefaultSettings(40)
+	set.Rest = 0 // but in the tests of it
 	if change != nil {
 		change(&set)
 	}
@@ -431,6 +460,38 @@
 	}
 }
 
+// A connection that has brought an answer just now may bring more yet that belongs to no request: who comes next gets another that
+// has rested, or waits for the rest of this one, which is over sooner than a handshake, and what has waited before is served first.
+func TestRestAfterAnAnswer(t *testing.T) {
+	rest := 10 * time.Millisecond
+	b, n := newBench(t, func(set *Settings) { set.Rest = rest })
+	first, second := b.get(n, false), b.get(n, false)
+	b.Done(b.now, second, InOrder)
+	b.now += 2 * rest
+	b.Done(b.now, first, InOrder)
+	if got := b.get(n, false); got != second {
+		t.Error("the one that has just had an answer goes first")
+	}
+	s, w, actions := b.Want(b.now, n, false)
+	if s != nil || len(actions) != 1 || actions[0].Kind != Rest || actions[0].Slot != first || actions[0].After != rest {
+		t.Fatalf("%v, %+v", s, actions)
+	}
+	if _, _, more := b.Want(b.now, n, false); len(more) != 1 || more[0].Kind != Open { // the one behind it
+		t.Errorf("%+v", more)
+	}
+	b.now += rest
+	if got := b.Rested(b.now, first); len(got) != 1 || got[0].Kind != Hand || got[0].Waiter != w || got[0].Slot != first {
+		t.Errorf("%+v", got)
+	}
+	if again := b.Rested(b.now, first); len(again) != 0 {
+		t.Errorf("a second time: %+v", again)
+	}
+	b.Done(b.now, first, Unused) // nothing was written: nothing can come
+	if c := b.Counts(); c.Idle != 0 || c.Waiting != 0 {
+		t.Errorf("what was not used waits beside one that waits: %+v", c)
+	}
+}
+
 // All agents together open no more ahead of need than the settings say, and less while the server is cold.
 func TestOpeningAheadIsBoundedForAll(t *testing.T) {
 	const agents, seconds = 200, 10
