--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -43,14 +43,15 @@
 // the fleet's size, once calls are turned away or answered late. It goes on at once all the same: what changes just after it
 // counts as told.
 const (
-	usualFleet = 8                      // agents up to which none of this is needed
-	rushEach   = 10 * time.Millisecond  // of the time in which all come, for each agent
-	mostSpread = toldAfter / 6          // of it at a start, as an agent begins with what it knew
-	watchEach  = 50 * time.Millisecond  // of the longest wait of a watch, for each agent
-	mostWatch  = 55 * time.Second       // discovery lets a watch wait for a minute
-	lateAnswer = 100 * time.Millisecond // past its wait a watch's answer shows that discovery is full
-	moreWait   = 2.0                    // times that the next watch waits then,
-	lessWait   = 0.97                   // and after an answer in time
+	usualFleet  = 8                      // agents up to which none of this is needed
+	rushEach    = 10 * time.Millisecond  // of the time in which all come, for each agent
+	mostSpread  = toldAfter / 6          // of it at a start, as an agent begins with what it knew
+	watchEach   = 50 * time.Millisecond  // of the longest wait of a watch, for each agent
+	mostWatch   = 55 * time.Second       // discovery lets a watch wait for a minute
+	watchSpread = 0.25                   // part by which a watch waits for less, at random: else those that end together with a change go on so
+	lateAnswer  = 100 * time.Millisecond // past its wait a watch's answer shows that discovery is full
+	moreWait    = 2.0                    // times that the next watch waits then,
+	lessWait    = 0.985                  // and after an answer in time
 )
 
 // Watch is how long a watch may wait for news, in a fleet whose discovery keeps up.
@@ -284,14 +285,15 @@
 		}
 	}
 	for {
-		before, began, wait := d.version, time.Now(), d.wait
+		wait := time.Duration((1 - watchSpread*d.rng.Float64()) * float64(d.wait))
+		before, began := d.version, time.Now()
 		left := max(toldAfter, wait+lateAfter) - wait // after its wait, until what it missed counts as told
 		err := d.call(ctx, d.watch(wait), wait+left/2)
 		took := time.Since(began)
 		if err != nil || took > wait+lateAnswer {
-			d.wait = min(d.pace.Most, time.Duration(moreWait*float64(wait)))
+			d.wait = min(d.pace.Most, time.Duration(moreWait*float64(d.wait)))
 		} else {
-			d.wait = max(Watch, time.Duration(lessWait*float64(wait)))
+			d.wait = max(Watch, time.Duration(lessWait*float64(d.wait)))
 		}
 		if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil { // it has fallen silent
 			d.log.Info("a watch has fallen silent", "version", d.version)
