--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -47,7 +47,7 @@
 	rushEach    = 10 * time.Millisecond  // of the time in which all come, for each agent
 	mostSpread  = toldAfter / 6          // of it at a start, as an agent begins with what it knew
 	watchEach   = 50 * time.Millisecond  // of the longest wait of a watch, for each agent
-	mostWatch   = 55 * time.Second       // discovery lets a watch wait for a minute
+	mostWatch   = time.Minute            // discovery lets a watch wait for no longer
 	watchSpread = 0.25                   // part by which a watch waits for less, at random: else those that end together with a change go on so
 	lateAnswer  = 100 * time.Millisecond // past its wait a watch's answer shows that discovery is full
 	moreWait    = 2.0                    // times that the next watch waits then,
