Read what discovery has sent before a process that stood still gives its watch up

A watch of 3 s is open then more often than one of 2.25 s was. At fault: the call's time-out was over when the process went on, its timer fired before the answer in the socket was read, and threw that away; the next call brought the same some milliseconds late. Ruled out: a call that was late or failed (there was none before). Now a timer that is 0.1 s late waits 0.1 s more.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -30,6 +30,7 @@
 	retryPause  = 500 * time.Millisecond  // at most, after a call that failed; twice as long with each further one
 	mostPauses  = 4                       // doublings of that
 	mostPause   = toldAfter / 2           // but never for longer
+	stalled     = 100 * time.Millisecond  // late by which a timer shows that the process stood still
 	firstWait   = 500 * time.Millisecond  // for the first list, before one from an earlier life is used
 	earlyPause  = 100 * time.Millisecond  // after a watch that came back early with no news
 	longestList = 1 << 20
@@ -316,8 +317,25 @@
 
 // call makes one call, which has so long for its answer, and takes in what that brings.
 func (d *Client) call(ctx context.Context, query string, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	due := time.Now().Add(timeout)
+	timer := time.AfterFunc(timeout, func() {
+		if time.Since(due) > stalled { // the process stood still: what has come meanwhile counts as told, and is read first
+			sleep(ctx, stalled)
+		}
+		cancel(context.DeadlineExceeded)
+	})
+	defer timer.Stop()
+	err := d.exchange(ctx, query)
+	if cause := context.Cause(ctx); err != nil && errors.Is(cause, context.DeadlineExceeded) {
+		return cause
+	}
+	return err
+}
+
+// exchange makes a call that ends with the context.
+func (d *Client) exchange(ctx context.Context, query string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.at+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return err
