Find the socket below the framing watch, so that a client that has left is seen at the door

Seen on a reading of the whole change: connlimit's look for a client that left before its request is taken asks the connection for its socket, and framing.Conn, which lies between in the agent, has no way through: the look always said no. Its test had a bare connection. Also: who leaves behind a request that had come whole with the one before was told to the one that is over (ahead.go, the goroutine kept the first request's call). It tells the one that waits now, and writes what it found under the lock. One look at a socket (flow.Peek) in place of two written alike in pool and connlimit. TestClientThatHasLeft, now through all that wraps a connection, and TestClientThatLeavesLater fail without each mend (seen, 20 s each).

--- a/internal/connlimit/ahead.go
+++ b/internal/connlimit/ahead.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"syscall"
+
+	"ryeweir/internal/flow"
 )
 
 // mostAhead is kept of what a client sends behind a request that is open: beyond it a client that leaves is not noticed.
@@ -12,7 +14,7 @@
 
 // ahead is what has come behind a request that is open. A client may leave behind bytes of a next request, or an empty line:
 // net/http stops to look at the first byte, so that they are read here, and kept for it. It and the server's reader go by turns:
-// its goroutine has ended before the server reads again. The table's lock guards it, but for held and err while the goroutine runs.
+// its goroutine has ended before the server reads again. The table's lock guards it.
 type ahead struct {
 	gone    func()        // is told that the client has left; nil while no request waits
 	reading bool          // the server reads
@@ -38,28 +40,8 @@
 
 // closed reports whether the far side has closed a connection on which nothing waits to be read; false where it can't be asked.
 func closed(c net.Conn) bool {
-	for {
-		inner, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = inner.NetConn()
-	}
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var n int
-	var peeked error
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, peeked = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err != nil || n == 0 && peeked == nil || peeked == syscall.ECONNRESET
+	n, err := flow.Peek(c)
+	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
 }
 
 // start reads on in a goroutine of its own. The lock is held.
@@ -67,19 +49,21 @@
 	if a.running != nil || a.err != nil || len(a.held) >= mostAhead {
 		return
 	}
-	running, gone := make(chan struct{}), a.gone
+	running, buf := make(chan struct{}), make([]byte, mostAhead-len(a.held))
 	a.running = running
 	go func() {
 		defer close(running)
-		buf := make([]byte, mostAhead-len(a.held))
-		n := 0
-		for n < len(buf) && a.err == nil {
+		n, err := 0, error(nil)
+		for n < len(buf) && err == nil {
 			var more int
-			more, a.err = c.Conn.Read(buf[n:])
+			more, err = c.Conn.Read(buf[n:])
 			n += more
 		}
-		a.held = append(a.held, buf[:n]...)
-		if a.err != nil && !timedOut(a.err) {
+		c.table.mu.Lock()
+		a.held, a.err = append(a.held, buf[:n]...), err
+		gone := a.gone // of the request that waits now: it may be another than at the start
+		c.table.mu.Unlock()
+		if gone != nil && err != nil && !timedOut(err) {
 			gone()
 		}
 	}()
--- a/internal/connlimit/ahead_test.go
+++ b/internal/connlimit/ahead_test.go
@@ -9,6 +9,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"ryeweir/internal/flow"
+	"ryeweir/internal/framing"
 )
 
 // watched is a server whose handler holds each request until its client has left or the test lets it go.
@@ -90,9 +93,9 @@
 	}
 }
 
-// One that has left before its request is looked at is noticed then: nothing begins for it.
+// One that has left before its request is looked at is noticed then, below all that wraps its connection: nothing begins for it.
 func TestClientThatHasLeft(t *testing.T) {
-	l := New(listen(t), 1)
+	l := New(framing.Listener{Listener: flow.Listener{Listener: listen(t)}}, 1)
 	c, far := pair(t, l)
 	far.Close()
 	eventually(t, "its close has come", func() bool { return closed(c) })
@@ -101,6 +104,24 @@
 	}
 }
 
+// Who leaves behind a request that had come whole with the one before is noticed in that one, not in the one that is over.
+func TestClientThatLeavesLater(t *testing.T) {
+	w := newWatched(t)
+	c := w.dial(t)
+	io.WriteString(c, ask("/a")+ask("/b")) // in one buffer of the server's
+	<-w.began
+	io.WriteString(c, ask("/c"))
+	w.goOn <- struct{}{}
+	ctx := <-w.began
+	c.Close()
+	select {
+	case <-ctx.Done():
+		<-w.left
+	case <-time.After(20 * time.Second):
+		t.Fatal("nobody noticed that it left")
+	}
+}
+
 // What came behind a request is read as the next one, whole and in order, and its client may leave behind that, too.
 func TestRequestsBehindOneAnother(t *testing.T) {
 	w := newWatched(t)
--- a/internal/flow/socket.go
+++ b/internal/flow/socket.go
@@ -3,8 +3,31 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 )
 
+// Peek looks at what waits to be read on a connection, one byte at the most, and does not wait: 0 without an error says that the far
+// side has closed, EAGAIN that it is quiet. Unlike Read it does not mind a deadline that has passed. What has no socket is an error.
+func Peek(c net.Conn) (n int, err error) {
+	for inner, ok := c.(interface{ NetConn() net.Conn }); ok; inner, ok = c.(interface{ NetConn() net.Conn }) {
+		c = inner.NetConn()
+	}
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var peeked error
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, peeked = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n, errors.Join(err, peeked)
+}
+
 // SizeSocket asks the kernel for buffers of so many bytes each way, where the connection has some; 0 leaves them as they are.
 // What they hold is outside any Budget.
 func SizeSocket(c net.Conn, bytes int) error {
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -42,6 +42,9 @@
 	return n, err
 }
 
+// NetConn is the connection below.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite lets net/http end an answer so that a client which still sends can read it.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -331,18 +331,6 @@
 	if q, ok := c.Conn.(interface{ Quiet() bool }); ok {
 		return q.Quiet()
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var peeked error
-	err = raw.Control(func(fd uintptr) { // which, unlike Read, does not mind a deadline that has passed
-		var one [1]byte
-		_, _, peeked = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && (peeked == syscall.EAGAIN || peeked == syscall.EWOULDBLOCK)
+	_, err := flow.Peek(c.Conn)
+	return errors.Is(err, syscall.EAGAIN)
 }
