Record each step of a request with its reason, and guard sends, repeats and closes

Change: internal/event counts and (at level debug) logs each step of a request by its id, of its connection, attempts, connections to servers, lists and watches, with a typed reason; logic.Action carries the cause of each Send, Refuse and Fail. internal/invariant has a guard each for sending, repeating and closing, asked before and once more after the act; what breaks a rule all the same is counted under 'invariants' in /v1/metrics and logged as an error.

Cost at level info: some 14 atomic additions a request, not measured yet.

--- a/cmd/ryeweir/main.go
+++ b/cmd/ryeweir/main.go
@@ -61,7 +61,8 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	var log logging
 	root.PersistentFlags().StringVar(&log.format, "log-format", "text", "form of the log on standard error: text or json")
-	root.PersistentFlags().StringVar(&log.level, "log-level", "info", "least level that is logged: debug, info, warn or error")
+	root.PersistentFlags().StringVar(&log.level, "log-level", defaultLevel(),
+		"least level that is logged: debug (each step of each request), info, warn or error; also "+levelVariable)
 	root.AddCommand(agentCommand(&log), versionCommand(), checkCommand(), demoCommand(), worldCommand(), loadCommand(),
 		experimentCommand(), labCommand(), fleetCommand(), proxyCommand())
 	for _, c := range root.Commands() {
@@ -84,6 +85,16 @@
 	return root
 }
 
+// levelVariable is the environment's word on the least level that is logged. The flag goes before it.
+const levelVariable = "RYEWEIR_LOG_LEVEL"
+
+func defaultLevel() string {
+	if level := os.Getenv(levelVariable); level != "" {
+		return level
+	}
+	return "info"
+}
+
 // logging is what the flags say of the log.
 type logging struct{ format, level string }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,9 +16,11 @@
 	"ryeweir/internal/control"
 	"ryeweir/internal/core"
 	"ryeweir/internal/discovery"
+	"ryeweir/internal/event"
 	"ryeweir/internal/flow"
 	fronthttp "ryeweir/internal/front/http"
 	"ryeweir/internal/httpmsg"
+	"ryeweir/internal/invariant"
 	"ryeweir/internal/metrics"
 	"ryeweir/internal/pool"
 	"ryeweir/internal/probe"
@@ -62,6 +64,7 @@
 	defer parts.Wait()
 	defer stop()
 
+	events, monitor := event.NewRecorder(log), invariant.NewMonitor(log)
 	share := shareSockets(cfg.Sockets, sockets)
 	clock := core.NewClock()
 	kept, keep := learnt(cfg, ops.Snapshot)
@@ -69,7 +72,7 @@
 		recall(balancer, kept, ops.Snapshot, clock, log)
 	}
 	conns, err := pool.New(pool.Config{Settings: ops.Connections.Settings(connections(cfg, share.toBackends)), Buffers: ops.Connections.SocketBufferBytes, ConnectIn: cfg.Site.ConnectTimeout, Seed: cfg.Seed, Clock: clock,
-		Dial: sockets.Dial, Wrap: uphttp.Wrap})
+		Dial: sockets.Dial, Wrap: uphttp.Wrap, Events: events})
 	if err != nil {
 		return err
 	}
@@ -83,9 +86,12 @@
 		memory /= 2
 	}
 	bodies := flow.NewBudget(int64(memory))
+	figures.Add("events", func() any { return events })
+	figures.Add("invariants", func() any { return monitor })
 	figures.Add("connections", func() any { return conns.Counts() })
 	var badReport sync.Once
 	upstream := &uphttp.Upstream{Pool: conns, Clock: clock, Budget: bodies, Fields: cfg.Site.ReportFields, Sent: figures.Sent,
+		Events: events, Monitor: monitor,
 		Noted: func(err error) {
 			badReport.Do(func() { log.Warn("passing over a malformed report; further ones are not logged", "error", err) })
 		}}
@@ -106,7 +112,8 @@
 		figures.Add("peers", talk.figures)
 	}
 	c := core.New(core.Config{Observe: observe, Balancer: balancer, Clock: clock, Upstream: upstream, Prober: prober, Upload: httpmsg.LongestUpload,
-		Subscribe: func() { disco.Ask() }, Members: figures.SetMembers, Log: log, Budget: fleet, Order: order})
+		Subscribe: func() { disco.Ask() }, Members: figures.SetMembers, Log: log, Budget: fleet, Order: order,
+		Events: events, Monitor: monitor})
 	if fleet != nil {
 		figures.Add("overload", func() any { return c.BudgetFigures() })
 		own := budget.Own{Wait: ops.Overload.Own.Wait.D(), CPU: ops.Overload.Own.CPU, Memory: ops.Overload.Own.Memory}
@@ -119,10 +126,11 @@
 		parts.Go(func() { talk.run(inner) })
 	}
 	disco = discovery.New(discovery.Config{Addr: cfg.Discovery, Agents: cfg.Site.Logic.Balancers, Asked: cfg.Site.Logic.Subscribe,
-		Zones: cfg.Site.Zones, Known: cfg.Known, Seed: cfg.Seed, Clock: clock, Dial: sockets.Dial, Sink: sink, Log: log})
+		Zones: cfg.Site.Zones, Known: cfg.Known, Seed: cfg.Seed, Clock: clock, Dial: sockets.Dial, Sink: sink, Log: log, Events: events})
 	figures.Add("border", func() any { return c.Faults() })
 	front := fronthttp.New(fronthttp.Config{Site: cfg.Site, Core: c, Clock: clock, Metrics: figures, Budget: bodies,
-		Most: share.fromClients, AcceptFor: cfg.AcceptFor, DrainFor: ops.Drain.Longest.D(), SocketBuffer: ops.Connections.SocketBufferBytes, Log: log})
+		Most: share.fromClients, AcceptFor: cfg.AcceptFor, DrainFor: ops.Drain.Longest.D(), SocketBuffer: ops.Connections.SocketBufferBytes, Log: log,
+		Events: events, Monitor: monitor})
 	if sockets.Control != nil {
 		parts.Go(func() {
 			if err := control.Serve(inner, sockets.Control, front, figures, log); err != nil {
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -35,6 +35,12 @@
 
 // startWith is start with a changed configuration.
 func startWith(t *testing.T, d *testkit.Discovery, acceptFor time.Duration, change func(*platform.Config)) *running {
+	t.Helper()
+	return startLogged(t, d, acceptFor, change, slog.DiscardHandler)
+}
+
+// startLogged is startWith with a log.
+func startLogged(t *testing.T, d *testkit.Discovery, acceptFor time.Duration, change func(*platform.Config), log slog.Handler) *running {
 	t.Helper()
 	cfg, err := platform.Parse(testkit.ConfigText(d.Addr().String(), "null"), testkit.NoEnv)
 	if err != nil {
@@ -50,7 +56,7 @@
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
-		a.done <- Run(ctx, cfg, operator.Default(), Reloads{}, Sockets{Clients: l, Control: operators}, slog.New(slog.DiscardHandler))
+		a.done <- Run(ctx, cfg, operator.Default(), Reloads{}, Sockets{Clients: l, Control: operators}, slog.New(log))
 	}()
 	t.Cleanup(func() { stop(); <-finished })
 	testkit.Eventually(t, "the agent is ready", func() bool { return a.status(t, "/ready") == http.StatusOK })
--- a/internal/connlimit/ahead.go
+++ b/internal/connlimit/ahead.go
@@ -30,6 +30,7 @@
 	defer c.table.mu.Unlock()
 	a := &c.ahead
 	if a.err != nil || len(a.held) == 0 && closed(c.Conn) {
+		c.clientGone = true
 		return true
 	}
 	if a.gone = gone; a.behind && !a.reading {
@@ -61,6 +62,7 @@
 		}
 		c.table.mu.Lock()
 		a.held, a.err = append(a.held, buf[:n]...), err
+		c.noteReadError(err)
 		gone := a.gone // of the request that waits now: it may be another than at the start
 		c.table.mu.Unlock()
 		if gone != nil && err != nil && !timedOut(err) {
--- a/internal/connlimit/ahead_test.go
+++ b/internal/connlimit/ahead_test.go
@@ -29,7 +29,7 @@
 		io.Copy(io.Discard, r.Body)
 		ctx, gone := context.WithCancel(r.Context())
 		defer gone()
-		Hold(ctx)
+		Hold(ctx, "r")
 		if Watch(ctx, gone) {
 			w.left <- true
 			return
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -10,6 +10,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"ryeweir/internal/event"
+	"ryeweir/internal/invariant"
 )
 
 // longAgo is a deadline that ends a read at once.
@@ -24,6 +27,10 @@
 
 	// Head is how long the head of a request may take that begins on a connection which was resting.
 	Head time.Duration
+	// Events is told of each connection's accept and close, and of the last byte of each answer. Nil for nobody.
+	Events *event.Recorder
+	// Monitor is told of a connection that closes over a request without an answer. Nil for nobody.
+	Monitor *invariant.Monitor
 
 	mu      sync.Mutex
 	room    *sync.Cond
@@ -48,6 +55,12 @@
 	since    time.Time // when the use began or, while reading, when the latest bytes came
 	deadline time.Time // of reads, as the server set it; in force while it is not retired
 	ahead    ahead     // what came behind a request that is open
+
+	number      uint64       // of the connection, in events
+	request     string       // id of the request that is open, or whose answer is on its way out
+	answered    bool         // its answer has been decided on
+	clientGone  bool         // reading showed that the client has closed or reset the connection
+	closeReason event.Reason // why it is to close, as far as that is known before it does
 }
 
 // use is what a connection is busy with.
@@ -78,8 +91,13 @@
 		raw.Close()
 		return nil, net.ErrClosed
 	}
-	c := &Conn{Conn: raw, table: t, since: time.Now()}
+	c := &Conn{Conn: raw, table: t, since: time.Now(), number: t.Events.NextConnection()}
 	t.open[c] = struct{}{}
+	accepted := event.Event{Kind: event.ConnectionAccepted, Connection: c.number}
+	if t.Events.Verbose() {
+		accepted.Detail = raw.RemoteAddr().String()
+	}
+	t.Events.Record(accepted)
 	return c, nil
 }
 
@@ -99,7 +117,7 @@
 	for len(t.open) >= t.most && !t.closed {
 		if c := t.leastUseful(); c != nil {
 			c.hurry = true
-			c.retire()
+			c.retire(event.RoomNeeded)
 		}
 		t.room.Wait()
 	}
@@ -149,7 +167,7 @@
 	defer t.mu.Unlock()
 	for c := range t.open {
 		if c.use == unused && !c.closing && time.Since(c.since) >= idle {
-			c.retire()
+			c.retire(event.Draining)
 		}
 	}
 }
@@ -170,6 +188,10 @@
 func (t *Listener) Abort() {
 	t.mu.Lock()
 	for c := range t.open {
+		if !c.closing {
+			c.closeReason = event.ProcessEnd
+			c.checkClose()
+		}
 		c.Conn.Close()
 	}
 	t.mu.Unlock()
@@ -177,15 +199,15 @@
 }
 
 // retire has the connection end, unless something comes on it first. The lock is held.
-func (c *Conn) retire() {
-	c.retired = true
+func (c *Conn) retire(why event.Reason) {
+	c.retired, c.closeReason = true, why
 	c.Conn.SetReadDeadline(longAgo) // fails only where there is no connection any more
 }
 
 // keep takes that back. The lock is held.
 func (c *Conn) keep() {
 	if c.retired && !c.closing {
-		c.retired, c.hurry = false, false
+		c.retired, c.hurry, c.closeReason = false, false, event.None
 		c.Conn.SetReadDeadline(c.deadline)
 		c.table.room.Signal() // another has to make room
 	}
@@ -227,9 +249,27 @@
 	if n > 0 {
 		c.came()
 	}
+	c.noteReadError(err)
 	return n, err
 }
 
+// noteReadError takes in why reading failed: the client is gone, or time was over. The lock is held.
+func (c *Conn) noteReadError(err error) {
+	switch {
+	case err == nil:
+	case !timedOut(err):
+		c.clientGone = true
+		if c.closeReason == event.None {
+			c.closeReason = event.ClientClosed
+		}
+	case c.closeReason != event.None:
+	case c.use == unused:
+		c.closeReason = event.IdleTimeout
+	case c.use == reading:
+		c.closeReason = event.ReadTimeout
+	}
+}
+
 // came takes in that something has been read. The lock is held.
 func (c *Conn) came() {
 	c.keep()
@@ -262,6 +302,7 @@
 		return nil
 	}
 	c.ahead.stop(c)
+	c.checkClose()
 	c.closing, c.since = true, time.Now()
 	if !c.served || c.broken || c.CloseWrite() != nil {
 		return c.end()
@@ -270,6 +311,27 @@
 	return nil
 }
 
+// checkClose asks the close guard, and records the close with its reason. The lock is held.
+func (c *Conn) checkClose() {
+	owed := invariant.Close{RequestOpen: c.request != "" && !c.answered, ClientLeft: c.clientGone, AnswerBroke: c.broken}
+	if verdict := owed.Check(); verdict.Denied {
+		c.table.Monitor.Violated(verdict.Rule, c.request, "closing for "+c.closeReason.String())
+	}
+	c.answerWritten()
+	if c.closeReason == event.None {
+		c.closeReason = event.AfterAnswer
+	}
+	c.table.Events.Record(event.Event{Kind: event.ConnectionClosed, Reason: c.closeReason, Connection: c.number})
+}
+
+// answerWritten records that the answer of the request which was open is out. The lock is held.
+func (c *Conn) answerWritten() {
+	if c.request != "" && c.answered {
+		c.table.Events.Record(event.Event{Kind: event.RequestWritten, Request: c.request, Connection: c.number})
+	}
+	c.request, c.answered = "", false
+}
+
 // linger passes over what comes until the client has closed its side, or for as long as that may take.
 func (c *Conn) linger() {
 	t, until := c.table, time.Now().Add(lingerTime)
@@ -317,6 +379,7 @@
 	c.served = c.served || use == inUse
 	if use != inUse {
 		c.ahead.gone = nil
+		c.answerWritten()
 		c.table.room.Signal()
 	}
 }
@@ -342,13 +405,44 @@
 	return context.WithValue(ctx, connKey{}, raw)
 }
 
-// Hold marks the connection of a request as in use. It is given back when net/http has written the answer.
-func Hold(ctx context.Context) {
+// Hold marks the connection of a request as in use: it is owed an answer. It is given back when net/http has written that.
+func Hold(ctx context.Context, request string) {
 	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
 		c.now(inUse)
+		c.table.mu.Lock()
+		defer c.table.mu.Unlock()
+		c.request = request
 	}
 }
 
+// Answered says that the answer of the request on a connection has been decided on and is about to be written.
+func Answered(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.table.mu.Lock()
+		defer c.table.mu.Unlock()
+		c.answered = true
+	}
+}
+
+// Number is the number of a request's connection in events; 0 for none.
+func Number(ctx context.Context) uint64 {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		return c.number
+	}
+	return 0
+}
+
+// ClientGone reports whether reading the connection of a request showed that its client has closed it.
+func ClientGone(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return false
+	}
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.clientGone
+}
+
 // Watch has gone called, once, when the client of a request that has come whole leaves: also where more had come behind the
 // request before, which net/http does not look past. It reports whether the client has left already. The watch ends with the
 // request.
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"ryeweir/internal/event"
 )
 
 func listen(t *testing.T) net.Listener {
@@ -191,7 +193,7 @@
 			defer l.mu.Unlock()
 			c := l.leastUseful()
 			c.hurry = true
-			c.retire()
+			c.retire(event.RoomNeeded)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"ryeweir/internal/invariant"
 	"ryeweir/logic"
 )
 
@@ -64,6 +65,7 @@
 	if !a.told.CompareAndSwap(false, true) {
 		if a.core != nil {
 			a.core.faults.Twice.Add(1)
+			a.core.cfg.Monitor.Violated(invariant.OutcomeReportedTwice, a.Call.ID, "attempt on "+a.Server)
 		}
 		if o.Content != nil {
 			o.Content.Drop()
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"ryeweir/internal/event"
 )
 
 // Call is what a client asks: what the decisions need, the message itself, and the place for its one answer. A front fills
@@ -65,6 +67,7 @@
 // Answer is the final answer to a client.
 type Answer struct {
 	Verdict    Verdict
+	Reason     event.Reason  // why, for those who watch
 	Content    Content       // of one that is served
 	RetryAfter time.Duration // of one that is refused: when to come back; 0 where nothing is said of it
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"ryeweir/internal/budget"
+	"ryeweir/internal/event"
+	"ryeweir/internal/invariant"
 	"ryeweir/logic"
 )
 
@@ -34,6 +36,8 @@
 	// Observe, where it is set, is told of each attempt on a server that ended and says something of it: when it was decided on,
 	// and whether it went well. The loop calls it: it must not wait.
 	Observe func(server string, sent time.Duration, well bool)
+	Events  *event.Recorder    // what happens to calls and attempts; nil for nobody
+	Monitor *invariant.Monitor // counts broken rules; nil for nobody
 }
 
 // Prober asks a server's present life, as the upstream's Bind returned it, how it does. It returns within its own time-out, or
@@ -49,7 +53,7 @@
 	clock    Clock
 	upstream Upstream
 	cfg      Config
-	events   chan event
+	events   chan message
 	done     chan struct{} // closed when the loop has ended
 	ready    atomic.Bool   // there is a server to send to
 	listed   chan struct{} // closed when there first is one
@@ -70,8 +74,8 @@
 
 const eventQueue = 1024
 
-// event is something that the loop is told: one of the types below.
-type event interface{}
+// message is something that the loop is told: one of the types below.
+type message interface{}
 
 type (
 	// arrived brings a new call.
@@ -116,7 +120,7 @@
 	if cfg.Members == nil {
 		cfg.Members = func(int, int) {}
 	}
-	c := &Core{balancer: cfg.Balancer, clock: cfg.Clock, upstream: cfg.Upstream, cfg: cfg, events: make(chan event, eventQueue),
+	c := &Core{balancer: cfg.Balancer, clock: cfg.Clock, upstream: cfg.Upstream, cfg: cfg, events: make(chan message, eventQueue),
 		done: make(chan struct{}), listed: make(chan struct{}), calls: map[string]*Call{}}
 	c.waited.Store(nobody)
 	return c
@@ -221,11 +225,21 @@
 // Listed is closed when there first is a server to send to.
 func (c *Core) Listed() <-chan struct{} { return c.listed }
 
+// HasList reports whether a list of servers with one to send to has ever come.
+func (c *Core) HasList() bool {
+	select {
+	case <-c.listed:
+		return true
+	default:
+		return false
+	}
+}
+
 // Ready reports whether there is a server to send to.
 func (c *Core) Ready() bool { return c.ready.Load() }
 
 // tell hands an event to the loop, unless it has ended.
-func (c *Core) tell(ev event) {
+func (c *Core) tell(ev message) {
 	select {
 	case c.events <- ev:
 	case <-c.done:
@@ -280,7 +294,7 @@
 
 func (c *Core) idle() bool { return len(c.calls) == 0 && c.balancer.Idle() }
 
-func (c *Core) handle(ev event) {
+func (c *Core) handle(ev message) {
 	switch e := ev.(type) {
 	case arrived:
 		c.arrive(e.call)
@@ -326,7 +340,7 @@
 	if c.calls[call.ID] != nil {
 		call.ends()
 		call.release()
-		c.give(call, Answer{Verdict: Duplicate})
+		c.give(call, Answer{Verdict: Duplicate, Reason: event.DuplicateID})
 		return
 	}
 	call.taken = c.clock.Now()
@@ -340,7 +354,7 @@
 		if v := b.Arrive(call.taken, worth); !v.Admit { // refused now, as all that is given up
 			call.ends()
 			call.release()
-			c.give(call, Answer{Verdict: Refused, RetryAfter: v.After})
+			c.give(call, Answer{Verdict: Refused, Reason: event.BudgetShed, RetryAfter: v.After})
 			return
 		}
 	}
@@ -367,8 +381,9 @@
 func (c *Core) end(a *Attempt, o Outcome) {
 	call := a.Call
 	call.ended(a, o.Result)
+	c.cfg.Events.Record(event.Event{Kind: event.AttemptEnded, Reason: resultReasons[o.Result], Request: call.ID, Attempt: a.Number, Server: a.Server})
 	if o.Result == logic.OK {
-		c.finish(call, Answer{Verdict: Served, Content: o.Content})
+		c.finish(call, Answer{Verdict: Served, Reason: event.Served, Content: o.Content})
 	}
 	if b := c.cfg.Budget; b != nil && o.Result != logic.NotSent {
 		b.Ended(c.clock.Now(), budget.Outcome{Overload: o.Result == logic.Rejected || o.Result == logic.TimedOut, Sent: a.Began()})
@@ -421,9 +436,9 @@
 		case logic.Send:
 			c.send(a)
 		case logic.Refuse:
-			c.finish(c.calls[a.Request], Answer{Verdict: Refused, RetryAfter: a.After})
+			c.finish(c.calls[a.Request], Answer{Verdict: Refused, Reason: causeReasons[a.Cause], RetryAfter: a.After})
 		case logic.Fail:
-			c.finish(c.calls[a.Request], Answer{Verdict: Failed})
+			c.finish(c.calls[a.Request], Answer{Verdict: Failed, Reason: causeReasons[a.Cause]})
 		case logic.SetTimer:
 			heap.Push(&c.timers, timer{due: c.clock.Now() + a.After, token: a.Token})
 		case logic.Subscribe:
@@ -436,10 +451,13 @@
 
 // send starts an attempt in a goroutine of its own, so that a dead dial holds up nothing else.
 func (c *Core) send(act logic.Action) {
-	a := c.calls[act.Request].attempt(act, c.clock.Now(), c.cfg.Upload)
+	call := c.calls[act.Request]
+	allowed := c.mayRepeat(call)
+	a := call.attempt(act, c.clock.Now(), c.cfg.Upload)
 	a.core = c
+	c.cfg.Events.Record(event.Event{Kind: event.AttemptDecided, Reason: causeReasons[act.Cause], Request: call.ID, Attempt: a.Number, Server: a.Server})
 	a.Target = c.upstream.Bind(act.Server)
-	if b := c.cfg.Budget; b != nil && a.Number > 0 && !b.Retry(c.clock.Now()) {
+	if b := c.cfg.Budget; !allowed || b != nil && a.Number > 0 && !b.Retry(c.clock.Now()) {
 		// Told by a goroutine, as the loop must not wait on its own queue.
 		c.attempts.Go(func() { a.Report(Outcome{Result: logic.NotSent, Report: logic.NoReport}) })
 		return
@@ -447,6 +465,17 @@
 	c.attempts.Go(func() { c.try(c.ctx, a) })
 }
 
+// mayRepeat asks the repeat guard for an attempt that the module has decided on: a second look at its decision, from what the
+// core itself has seen of the call.
+func (c *Core) mayRepeat(call *Call) bool {
+	first := call.mayHaveRun()
+	verdict := invariant.Repeat{Now: c.clock.Now(), MayHaveRun: first > 0, FirstSent: first, Repeatable: !call.Careful, Window: call.Window}.Check()
+	if verdict.Denied {
+		c.cfg.Monitor.Violated(verdict.Rule, call.ID, "the module decided on a further attempt")
+	}
+	return !verdict.Denied
+}
+
 // probe starts a probe in a goroutine of its own.
 func (c *Core) probe(server string) {
 	target := c.upstream.Bind(server)
@@ -463,7 +492,7 @@
 // finish gives a call its answer, unless it has one.
 func (c *Core) finish(call *Call, a Answer) {
 	if call == nil || call.over.Load() {
-		a.drop()
+		a.drop() // two attempts may be served, of which one is passed on; and the client may have left
 		return
 	}
 	call.ends()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,10 +12,13 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"ryeweir/internal/core"
+	"ryeweir/internal/event"
 	"ryeweir/internal/pool"
 	"ryeweir/logic"
 )
@@ -102,6 +105,7 @@
 	Dial   pool.Dial // nil for the machine's network
 	Sink   Sink
 	Log    *slog.Logger
+	Events *event.Recorder // nil for nobody
 }
 
 // Client follows the list of servers.
@@ -114,6 +118,7 @@
 	subscribe chan struct{} // holds one subscription
 	sink      Sink
 	log       *slog.Logger
+	events    *event.Recorder
 
 	mu   sync.Mutex
 	addr string             // where discovery is; mu guards it and what follows
@@ -151,6 +156,7 @@
 		subscribe: make(chan struct{}, 1),
 		sink:      cfg.Sink,
 		log:       cfg.Log,
+		events:    cfg.Events,
 		have:      map[string]core.Member{},
 		version:   -1,
 	}
@@ -260,8 +266,10 @@
 		}
 		err := d.follow(ctx)
 		if ctx.Err() != nil {
+			d.events.Record(event.Event{Kind: event.WatchEnded, Reason: event.Moved, Detail: "the session has ended"})
 			return
 		}
+		d.events.Record(event.Event{Kind: event.WatchEnded, Reason: event.Failed, Detail: err.Error()})
 		if !d.down {
 			d.down = true
 			d.log.Warn("discovery out of reach, keeping the last list", "version", d.version, "error", err)
@@ -298,6 +306,7 @@
 		}
 		if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil { // it has fallen silent
 			d.log.Info("a watch has fallen silent", "version", d.version)
+			d.events.Record(event.Event{Kind: event.WatchEnded, Reason: event.Silent, Detail: fmt.Sprintf("version %d", d.version)})
 			err = d.call(ctx, d.watch(0), left/2)
 		}
 		if err != nil {
@@ -385,11 +394,33 @@
 	}
 	members := d.members(l)
 	d.version = l.Version
+	applied := event.Event{Kind: event.ListApplied}
+	if d.events.Verbose() {
+		applied.Detail = fmt.Sprintf("version %d, full %v: %s", l.Version, l.Full, summary(members))
+	}
+	d.events.Record(applied)
 	d.log.Info("list of backends", "version", l.Version, "full", l.Full, "entries", len(l.Servers))
 	d.sink.SetList(core.List{Full: l.Full, Members: members})
 	return nil
 }
 
+// summary names the servers of a list that are not ready, and counts the others.
+func summary(members []core.Member) string {
+	ready := 0
+	var b strings.Builder
+	for _, m := range members {
+		switch m.State {
+		case logic.Ready:
+			ready++
+		case logic.Draining:
+			b.WriteString(" draining " + m.ID)
+		case logic.Gone:
+			b.WriteString(" gone " + m.ID)
+		}
+	}
+	return strconv.Itoa(ready) + " ready" + b.String()
+}
+
 // members decodes the entries. A malformed one is passed over, which must not look as if its backend had been
 // taken from the list: what was held of it stands.
 func (d *Client) members(l List) []core.Member {
--- a/internal/front/http/serve.go
+++ b/internal/front/http/serve.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"ryeweir/internal/connlimit"
+	"ryeweir/internal/event"
 	"ryeweir/internal/flow"
 	"ryeweir/internal/framing"
+	"ryeweir/internal/invariant"
 )
 
 const (
@@ -26,7 +28,7 @@
 // accepted on by the process before this one, too: this one begins when it has somebody to send to, and stops at once.
 func (s *Server) Serve(ctx context.Context, l net.Listener, inherited bool) error {
 	clients := connlimit.New(framing.Listener{Listener: flow.Listener{Listener: l, Bytes: s.SocketBuffer}}, s.Most)
-	clients.Head = headerTimeout
+	clients.Head, clients.Events, clients.Monitor = headerTimeout, s.Events, s.Monitor
 	defer clients.Close()
 	s.crowded = clients.Crowded
 	srv := s.httpServer()
@@ -49,6 +51,7 @@
 	s.Log.Info("listening", "addr", l.Addr().String(), "inherited", inherited)
 	select {
 	case err := <-failed:
+		s.Monitor.Violated(invariant.ListenerEnded, "", err.Error())
 		return fmt.Errorf("serving clients: %w", err)
 	case <-ctx.Done():
 	}
@@ -71,6 +74,7 @@
 	limited, cancel := context.WithTimeout(ctx, drainFor)
 	defer cancel()
 	s.phase.end()
+	s.Events.Record(event.Event{Kind: event.PhaseChanged, Reason: event.Draining, Detail: "the signal to end has come"})
 	if !inherited { // else the process that follows accepts, and what this one took from it would come late
 		sleep(limited, s.AcceptFor)
 	}
@@ -79,6 +83,7 @@
 	for clients.Len() > 0 && limited.Err() == nil {
 		sleep(limited, drainPoll)
 	}
+	s.Events.Record(event.Event{Kind: event.PhaseChanged, Reason: event.ShuttingDown, Detail: "what is open gets its answer now"})
 	s.Core.Finish()
 	flowing, cancel := context.WithTimeout(ctx, flowFor)
 	defer cancel()
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -13,9 +13,11 @@
 
 	"ryeweir/internal/connlimit"
 	"ryeweir/internal/core"
+	"ryeweir/internal/event"
 	"ryeweir/internal/flow"
 	"ryeweir/internal/framing"
 	"ryeweir/internal/httpmsg"
+	"ryeweir/internal/invariant"
 	"ryeweir/internal/metrics"
 	"ryeweir/internal/wire"
 )
@@ -47,6 +49,8 @@
 	SocketBuffer int           // bytes of the kernel's buffer, each way and connection; 0: what it gives
 	DrainFor     time.Duration // answers that still flow may take so long after it; 0: what the platform allows
 	Log          *slog.Logger
+	Events       *event.Recorder    // what happens to requests and clients' connections; nil for nobody
+	Monitor      *invariant.Monitor // counts broken rules; nil for nobody
 }
 
 // Server is the side that faces the clients.
@@ -97,9 +101,13 @@
 	}
 	c, m, release, err := s.accept(w, r, class)
 	if err != nil {
+		reason := event.BrokenUpload
 		if !errors.Is(err, errNotWhole) { // else there was no request to answer
 			s.Metrics.Answered(class, metrics.Failed)
+			reason = event.Malformed
 		}
+		s.Events.Record(event.Event{Kind: event.RequestAnswered, Reason: reason, Request: first(r.Header, requestIDHeader),
+			Connection: connlimit.Number(r.Context()), Detail: err.Error()})
 		turnAway(w, err)
 		return
 	}
@@ -110,6 +118,7 @@
 	took := func() time.Duration {
 		if taken.begin() {
 			s.Metrics.Taken()
+			s.Events.Record(event.Event{Kind: event.RequestRead, Request: c.ID, Connection: connlimit.Number(ctx)})
 		}
 		return s.Clock.Now()
 	}
@@ -119,11 +128,12 @@
 		}
 	}()
 	rest := m.Body.Rest
-	connlimit.Hold(ctx)
+	connlimit.Hold(ctx, c.ID)
 	if rest == nil {
 		c.Deadline = took() + c.Timeout
 		if connlimit.Watch(ctx, left) {
 			release()
+			s.abandoned(ctx, c)
 			panic(http.ErrAbortHandler) // nobody waits, and nothing was sent on
 		}
 	} else {
@@ -137,7 +147,7 @@
 	defer s.held.Add(-1)
 	if s.held.Add(1) > s.mostHeld { // nothing was sent yet, so a refusal's promise holds
 		release()
-		s.write(w, r, c, core.Answer{Verdict: core.Refused, RetryAfter: heldRetry})
+		s.write(w, r, c, core.Answer{Verdict: core.Refused, Reason: event.TooManyOpen, RetryAfter: heldRetry})
 		return
 	}
 	c.Release = release // attempts may hold the body for longer than the client stays
@@ -151,7 +161,7 @@
 			case a := <-answers:
 				s.write(w, r, c, a)
 			case <-s.Core.Done():
-				s.write(w, r, c, core.Answer{Verdict: core.Failed})
+				s.write(w, r, c, core.Answer{Verdict: core.Failed, Reason: event.ShuttingDown})
 			}
 			return
 		}
@@ -160,16 +170,33 @@
 			http.NewResponseController(w).SetReadDeadline(time.Now()) // for an attempt that reads from it
 			rest.Close()
 			if _, err := rest.State(); err != nil { // net/http ends the context also when a body stops
+				s.answering(ctx, c, event.BrokenUpload)
 				turnAway(w, brokenBody(err))
 				return
 			}
 		}
+		s.abandoned(ctx, c)
 		panic(http.ErrAbortHandler) // a plain return would make net/http answer 200, which no backend said
 	case <-s.Core.Done(): // never before the server has drained
-		s.write(w, r, c, core.Answer{Verdict: core.Failed})
+		s.write(w, r, c, core.Answer{Verdict: core.Failed, Reason: event.ShuttingDown})
 	}
 }
 
+// abandoned records that a request ends without an answer, as nobody waits for one.
+func (s *Server) abandoned(ctx context.Context, c *core.Call) {
+	reason := event.ConnectionBad
+	if connlimit.ClientGone(ctx) {
+		reason = event.ClientClosed
+	}
+	s.Events.Record(event.Event{Kind: event.RequestAbandoned, Reason: reason, Request: c.ID, Connection: connlimit.Number(ctx)})
+}
+
+// answering records that the answer of a request has been decided on and is about to be written.
+func (s *Server) answering(ctx context.Context, c *core.Call, reason event.Reason) {
+	connlimit.Answered(ctx)
+	s.Events.Record(event.Event{Kind: event.RequestAnswered, Reason: reason, Request: c.ID, Connection: connlimit.Number(ctx)})
+}
+
 // pending counts a request that was taken, once: the last byte of a long body may come as its request ends, in a goroutine of
 // its own.
 type pending struct{ state atomic.Int32 }
@@ -193,6 +220,9 @@
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
+	if !s.Core.HasList() {
+		s.Monitor.Violated(invariant.ReadyWithoutServer, "", "readiness was told before any list of servers")
+	}
 	io.WriteString(w, "ready\n")
 }
 
@@ -210,6 +240,7 @@
 
 func (s *Server) steer(to int32, text string) error {
 	err := s.phase.move(to)
+	s.Events.Record(event.Event{Kind: event.PhaseChanged, Detail: text})
 	s.Log.Info(text, "error", err)
 	return err
 }
@@ -227,6 +258,7 @@
 func (s *Server) write(w http.ResponseWriter, r *http.Request, c *core.Call, a core.Answer) {
 	s.closing(w, r)
 	if a.Verdict == core.Served {
+		s.answering(r.Context(), c, event.Served)
 		s.pass(w, r, c, a.Content.(*httpmsg.Content))
 		return
 	}
@@ -235,6 +267,7 @@
 		rest.Stop() // an attempt may wait for more of it
 		rest.Close()
 		if _, err := rest.State(); err != nil { // there is no request to refuse
+			s.answering(r.Context(), c, event.BrokenUpload)
 			turnAway(w, brokenBody(err))
 			return
 		}
@@ -256,6 +289,7 @@
 	}
 	control := http.NewResponseController(w)
 	control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	s.answering(r.Context(), c, a.Reason)
 	w.WriteHeader(status)
 	s.Metrics.Answered(c.Class, result)
 	if rest != nil {
@@ -292,6 +326,8 @@
 	out := &outflow{ResponseWriter: w, control: http.NewResponseController(w), flush: !whole}
 	if _, err := from.Pipe.WriteTo(out); err != nil {
 		s.Metrics.Answered(c.Class, metrics.Failed)
+		s.Events.Record(event.Event{Kind: event.RequestAbandoned, Reason: event.BrokenAnswer, Request: c.ID,
+			Connection: connlimit.Number(r.Context()), Detail: err.Error()})
 		connlimit.Break(r.Context())
 		if !r.ProtoAtLeast(1, 1) { // to which a plain close would be the end of the answer
 			framing.Reset(r.Context())
--- /dev/null
+++ b/internal/invariant/invariant_test.go
@@ -0,0 +1,86 @@
+package invariant
+
+import (
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Each guard names the rule that an act would break, and lets pass what breaks none.
+func TestGuards(t *testing.T) {
+	const second = time.Second
+	fine := Send{Now: second, WriteBy: 2 * second, TakesNew: true}
+	change := func(f func(*Send)) Send { s := fine; f(&s); return s }
+	for what, c := range map[string]struct {
+		got  Verdict
+		want Verdict
+	}{
+		"send":                               {fine.Check(), allowed},
+		"send for who has left":              {change(func(s *Send) { s.RequestOver = true }).Check(), denied(SendAfterClientLeft)},
+		"send to who drains":                 {change(func(s *Send) { s.TakesNew = false }).Check(), denied(SendToRetiredServer)},
+		"send at the deadline":               {change(func(s *Send) { s.Now = s.WriteBy }).Check(), denied(SendAfterDeadline)},
+		"first attempt of unsafe":            {Repeat{Now: second}.Check(), allowed},
+		"repeat of unsafe that never ran":    {Repeat{Now: second}.Check(), allowed},
+		"repeat of unsafe that may have run": {Repeat{Now: second, MayHaveRun: true, FirstSent: 1}.Check(), denied(RepeatOfUnsafe)},
+		"repeat of repeatable":               {Repeat{Now: second, MayHaveRun: true, FirstSent: 1, Repeatable: true}.Check(), allowed},
+		"repeat in the window":               {Repeat{Now: second, MayHaveRun: true, FirstSent: 1, Window: second}.Check(), allowed},
+		"repeat after the window":            {Repeat{Now: second + 1, MayHaveRun: true, FirstSent: 1, Window: second}.Check(), denied(RepeatOutsideWindow)},
+		"close with nothing owed":            {Close{}.Check(), allowed},
+		"close over a request":               {Close{RequestOpen: true}.Check(), denied(ClosedUnanswered)},
+		"close behind who left":              {Close{RequestOpen: true, ClientLeft: true}.Check(), allowed},
+		"close of an answer that broke off":  {Close{RequestOpen: true, AnswerBroke: true}.Check(), allowed},
+	} {
+		if c.got != c.want {
+			t.Errorf("%s: %+v, want %+v", what, c.got, c.want)
+		}
+	}
+}
+
+// What was sent is checked once more: a state that changed between check and write counts only past its grace.
+func TestSentIsCheckedOnceMore(t *testing.T) {
+	const left = time.Second
+	for what, c := range map[string]struct {
+		after        Send
+		stated, left time.Duration
+		rule         Rule
+		violations   int64
+	}{
+		"in order":                       {Send{Now: time.Second, WriteBy: time.Hour, TakesNew: true}, left, left, SendToRetiredServer, 0},
+		"notified of a drain as it went": {Send{Now: time.Second + DrainGrace, WriteBy: time.Hour}, left, left, SendToRetiredServer, 0},
+		"held up for longer":             {Send{Now: time.Second + DrainGrace + 1, WriteBy: time.Hour}, left, left, SendToRetiredServer, 1},
+		"its client left long before":    {Send{Now: time.Second + LeaveGrace + 1, WriteBy: time.Hour, TakesNew: true, RequestOver: true}, left, left, SendAfterClientLeft, 1},
+		"held up within the slack":       {Send{Now: time.Second, WriteBy: time.Hour, TakesNew: true}, left, left - DeadlineSlack, DeadlineOverstated, 0},
+		"more time than is left":         {Send{Now: time.Second, WriteBy: time.Hour, TakesNew: true}, left, left - DeadlineSlack - 1, DeadlineOverstated, 1},
+	} {
+		var out strings.Builder
+		m := NewMonitor(slog.New(slog.NewTextHandler(&out, nil)))
+		m.Sent("4f2a", time.Second, c.after, c.stated, c.left)
+		if m.Count(c.rule) != c.violations || m.Total() != c.violations {
+			t.Errorf("%s: %d of the rule, %d in all", what, m.Count(c.rule), m.Total())
+		}
+		if logged := strings.Contains(out.String(), "request=4f2a"); logged != (c.violations > 0) {
+			t.Errorf("%s: the log has %q", what, out.String())
+		}
+	}
+}
+
+// The counts are read by rule, those of 0 too: an operator sees that a rule is watched.
+func TestCountsByRule(t *testing.T) {
+	m := NewMonitor(slog.New(slog.DiscardHandler))
+	m.Violated(ClosedUnanswered, "4f2a", "")
+	data, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var counts map[string]int64
+	if err := json.Unmarshal(data, &counts); err != nil || len(counts) != rules || counts["closed_unanswered"] != 1 || counts["second_answer"] != 0 {
+		t.Errorf("%s, %v", data, err)
+	}
+	var none *Monitor
+	none.Violated(SecondAnswer, "", "")
+	if none.Total() != 0 || none.Count(SecondAnswer) != 0 {
+		t.Error("a nil monitor counts")
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ryeweir/internal/core"
+	"ryeweir/internal/event"
 	"ryeweir/internal/flow"
 	"ryeweir/logic"
 )
@@ -28,6 +29,7 @@
 	Clock     core.Clock
 	Dial      Dial               // nil for the machine's network
 	Wrap      func(net.Conn) any // makes the state of a protocol on a new connection
+	Events    *event.Recorder    // nil for nobody
 	Buffers   int                // bytes of a socket's buffer, each way, as the kernel is asked for them; 0 for what it gives
 }
 
@@ -285,6 +287,7 @@
 		case Close:
 			delete(p.open, a.Slot.Conn)
 			a.Slot.Conn.Close()
+			p.cfg.Events.Record(event.Event{Kind: event.UpstreamClosed, Reason: closeReasons[a.Why], Server: a.Slot.Node.ID})
 		case Hand, Refuse:
 			a.Waiter.Answer <- a
 		case Rest:
@@ -293,6 +296,19 @@
 	}
 }
 
+// closeReasons are the table's reasons of a close as reasons of events.
+var closeReasons = [...]event.Reason{
+	WhyIdle:    event.IdleTimeout,
+	WhyAge:     event.AgeLimit,
+	WhyStale:   event.StaleConnection,
+	WhySuspect: event.SuspectConnection,
+	WhyCrossed: event.CrossedClose,
+	WhyBroken:  event.BrokenExchange,
+	WhyRetired: event.ServerRetired,
+	WhyRoom:    event.RoomNeeded,
+	WhyEnd:     event.ProcessEnd,
+}
+
 // rested tells the table that a slot has rested. After the pool has closed that changes nothing.
 func (p *Pool) rested(s *Slot) {
 	p.mu.Lock()
@@ -317,9 +333,15 @@
 		err = ErrLate
 	}
 	if err != nil {
+		p.cfg.Events.Record(event.Event{Kind: event.UpstreamClosed, Reason: event.ConnectFailed, Server: s.Node.ID, Detail: err.Error()})
 		p.carryOut(p.table.OpenFailed(p.cfg.Clock.Now(), s))
 		return
 	}
+	opened := event.Event{Kind: event.UpstreamOpened, Server: s.Node.ID}
+	if p.cfg.Events.Verbose() {
+		opened.Detail = raw.LocalAddr().String()
+	}
+	p.cfg.Events.Record(opened)
 	s.Conn = &Conn{Conn: raw, State: p.cfg.Wrap(raw), slot: s}
 	p.open[s.Conn] = struct{}{}
 	p.carryOut(p.table.Opened(p.cfg.Clock.Now(), s))
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -266,3 +266,10 @@
 	defer b.mu.Unlock()
 	return bytes.Count(b.buf.Bytes(), []byte(text))
 }
+
+// String is all that is in it.
+func (b *LockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"ryeweir/internal/core"
+	"ryeweir/internal/event"
 	"ryeweir/internal/flow"
 	"ryeweir/internal/httpmsg"
 	"ryeweir/internal/pool"
@@ -91,6 +92,7 @@
 	conn    *pool.Conn
 	state   *state
 	attempt *core.Attempt
+	node    *pool.Node
 	message *httpmsg.Message
 	out     core.Outcome
 	told    atomic.Bool  // whoever sets it tells the outcome
@@ -135,6 +137,7 @@
 	}
 	if err == nil {
 		x.Sent()
+		x.recordWritten()
 	}
 	resp, bad := x.state.readHead()
 	if bad != nil {
@@ -162,6 +165,15 @@
 	return how
 }
 
+// recordWritten records that the request is out, and on which connection.
+func (x *exchange) recordWritten() {
+	written := event.Event{Kind: event.AttemptWritten, Request: x.attempt.Call.ID, Attempt: x.attempt.Number, Server: x.attempt.Server}
+	if x.Events.Verbose() {
+		written.Detail = x.conn.LocalAddr().String()
+	}
+	x.Events.Record(written)
+}
+
 // broke says how an exchange without an answer leaves its connection. On a used one that ended before a byte came, the server
 // was closing it as the request went out.
 func (x *exchange) broke(err error) pool.How {
@@ -320,7 +332,8 @@
 // write writes the request whole, or fails.
 func (x *exchange) write(answered *atomic.Bool) error {
 	a, m := x.attempt, x.message
-	left := min(a.Call.Timeout, max(0, a.Until()-x.Clock.Now()))
+	checked := x.Clock.Now()
+	left := min(a.Call.Timeout, max(0, a.Until()-checked))
 	text := append(x.state.text[:0], m.Head...)
 	text = append(text, httpmsg.TimeoutHeader+": "...)
 	text = strconv.AppendInt(text, left.Microseconds(), 10)
@@ -334,6 +347,8 @@
 			return err
 		}
 		_, err := x.conn.Write(text)
+		after := x.send(a, x.node)
+		x.Monitor.Sent(a.Call.ID, checked, after, left, min(a.Call.Timeout, max(0, a.Until()-after.Now)))
 		return err
 	}
 	w := bufio.NewWriterSize(stallWriter{x.conn, answered}, writeBuffer)
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -8,8 +8,10 @@
 	"errors"
 
 	"ryeweir/internal/core"
+	"ryeweir/internal/event"
 	"ryeweir/internal/flow"
 	"ryeweir/internal/httpmsg"
+	"ryeweir/internal/invariant"
 	"ryeweir/internal/pool"
 	"ryeweir/logic"
 )
@@ -22,6 +24,9 @@
 	Fields []string        // of load reports that count
 	Sent   func()          // a request has been written whole
 	Noted  func(err error) // a report was malformed
+
+	Events  *event.Recorder    // nil for nobody
+	Monitor *invariant.Monitor // nil for nobody
 }
 
 // Update takes the list of servers or a change of it.
@@ -48,13 +53,18 @@
 		a.Report(out)
 		return
 	}
-	x := &exchange{Upstream: u, conn: c, state: c.State.(*state), attempt: a, message: a.Call.Message.(*httpmsg.Message), out: out}
+	x := &exchange{Upstream: u, conn: c, state: c.State.(*state), attempt: a, node: node, message: a.Call.Message.(*httpmsg.Message), out: out}
 	u.Pool.Put(c, x.run(ctx))
 	x.finish()
 }
 
-// stillWanted is asked just before the first byte goes out. A dial may have taken long: meanwhile the server may have
+// stillWanted asks the send guard just before the first byte goes out. A dial may have taken long: meanwhile the server may have
 // begun to drain or started anew, the call may have ended, or the servers may have forgotten its key.
 func (u *Upstream) stillWanted(a *core.Attempt, node *pool.Node) bool {
-	return u.Clock.Now() < a.WriteBy && !a.Call.Over() && u.Pool.TakesNew(node)
+	return !u.send(a, node).Check().Denied
+}
+
+// send describes an attempt at this moment, for the send guard.
+func (u *Upstream) send(a *core.Attempt, node *pool.Node) invariant.Send {
+	return invariant.Send{Now: u.Clock.Now(), WriteBy: a.WriteBy, RequestOver: a.Call.Over(), TakesNew: u.Pool.TakesNew(node)}
 }
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -24,9 +24,12 @@
 	}
 	b.setShed(0) // a look at each tick would swing between all and nothing
 	// In a jam all cheap work may be refused, but an idle server must not wait for its trial till the end.
-	if b.ending || !b.set.AdmitAll && b.refused(b.worthOf(r)) && b.trial(r) == nil {
-		b.finish(r)
-	} else {
+	switch {
+	case b.ending:
+		b.finish(r, ShuttingDown)
+	case !b.set.AdmitAll && b.refused(b.worthOf(r)) && b.trial(r) == nil:
+		b.finish(r, Overloaded)
+	default:
 		b.try(r)
 	}
 }
@@ -50,7 +53,7 @@
 // endDue ends the requests whose deadline has come.
 func (b *Balancer) endDue() {
 	for len(b.open) > 0 && b.open[0].Deadline <= b.now {
-		b.finish(b.open[0]) // which takes it out
+		b.finish(b.open[0], DeadlineOver) // which takes it out
 	}
 	b.armed = 0
 	b.arm()
@@ -60,7 +63,7 @@
 func (b *Balancer) end() {
 	b.ending = true
 	for _, id := range slices.Sorted(maps.Keys(b.requests)) {
-		b.finish(b.requests[id])
+		b.finish(b.requests[id], ShuttingDown)
 	}
 }
 
--- a/logic/api.go
+++ b/logic/api.go
@@ -234,9 +234,28 @@
 	Subscribe                   // to the list of servers
 )
 
+// Cause is why the Balancer decided on a Send, a Refuse or a Fail.
+type Cause int
+
+// The causes.
+const (
+	NoCause          Cause = iota // of other actions
+	FirstAttempt                  // Send: the request's first
+	RetryAttempt                  // Send: the attempt before it ended in vain
+	HedgedAttempt                 // Send: the attempt before it is late
+	TrialAttempt                  // Send: to find out how an ejected server does
+	Overloaded                    // the servers are overloaded
+	NoServerLeft                  // no server may get it, or another attempt
+	RetryBudgetSpent              // further attempts are over the retry budget
+	MustNotRepeat                 // an attempt may have run, and must not run twice
+	DeadlineOver                  // the client's time is over
+	ShuttingDown                  // the process ends
+)
+
 // Action is something that the Balancer wants done. Actions take effect in order.
 type Action struct {
 	Kind    ActionKind
+	Cause   Cause
 	Request string
 	Server  string
 	After   time.Duration
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -56,14 +56,32 @@
 func (b *Balancer) try(r *request) bool {
 	s := b.pick(r)
 	if s == nil {
-		b.finish(r)
+		b.finish(r, b.whyNotSent(r))
 		return false
 	}
-	b.send(r, s)
+	cause := RetryAttempt
+	switch {
+	case s.trial:
+		cause = TrialAttempt
+	case len(r.attempts) == 0:
+		cause = FirstAttempt
+	}
+	b.send(r, s, cause)
 	return true
 }
 
-func (b *Balancer) send(r *request, s *server) {
+// whyNotSent is why no server may get the request.
+func (b *Balancer) whyNotSent(r *request) Cause {
+	switch {
+	case b.now >= r.Deadline:
+		return DeadlineOver
+	case r.spent || r.mayHaveRun() != nil && r.class.Effect != Safe:
+		return MustNotRepeat
+	}
+	return NoServerLeft
+}
+
+func (b *Balancer) send(r *request, s *server, cause Cause) {
 	if len(s.inFlight) == 0 {
 		s.heard = b.now
 	}
@@ -74,7 +92,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.inFlight = append(s.inFlight, a)
-	b.act(Action{Kind: Send, Request: r.ID, Server: s.ID})
+	b.act(Action{Kind: Send, Cause: cause, Request: r.ID, Server: s.ID})
 }
 
 // copyLate sends a second copy of requests whose answer is late: it may never come, where a connection fell
@@ -99,7 +117,7 @@
 		}
 		if s := b.pick(r); s != nil && !r.tried(s) {
 			b.budget--
-			b.send(r, s)
+			b.send(r, s, HedgedAttempt)
 		}
 	}
 }
@@ -121,19 +139,19 @@
 		b.close(r)
 	case r.out > 0: // the other copy goes on
 	case r.spent:
-		b.finish(r)
+		b.finish(r, MustNotRepeat)
 	case b.budget >= 1:
 		if b.try(r) { // one that must not be sent again costs nothing
 			b.budget--
 		}
 	default:
-		b.finish(r)
+		b.finish(r, RetryBudgetSpent)
 	}
 }
 
 // finish ends a request that was not served. A refusal is a promise, so it is a failure where that is not
 // known to hold.
-func (b *Balancer) finish(r *request) {
+func (b *Balancer) finish(r *request, cause Cause) {
 	if r.closed {
 		return
 	}
@@ -141,7 +159,7 @@
 	if r.mayRefuse() {
 		kind = Refuse
 	}
-	b.act(Action{Kind: kind, Request: r.ID, After: min(b.set.MaxRetryAfter, r.class.Aim/2)})
+	b.act(Action{Kind: kind, Cause: cause, Request: r.ID, After: min(b.set.MaxRetryAfter, r.class.Aim/2)})
 	b.close(r)
 }
 
