Add a soak of random overlapping faults on real processes, with a machine that fails on command

Faults were played one at a time, by the emulator's own referee; nothing made calls fail, stepped a clock or stalled a disk or a log under a real process.

The plan follows from the seed, which is printed. internal/faultshim is handed to the agent in place of its machine (listener, dialer, connections, time of day, disk), since Go makes system calls and reads the clock without the C library. Guards measure lateness from when a call ended and a server was retired.

--- a/cmd/ryeweir/agent.go
+++ b/cmd/ryeweir/agent.go
@@ -69,6 +69,11 @@
 }
 
 func runAgent(ctx context.Context, flags *logging, operators string, at peerFlags, errs io.Writer) error {
+	return runAgentOn(ctx, flags, operators, at, errs, func(*agent.Sockets) {})
+}
+
+// runAgentOn runs an agent whose machine may be changed before it starts.
+func runAgentOn(ctx context.Context, flags *logging, operators string, at peerFlags, errs io.Writer, change func(*agent.Sockets)) error {
 	hangups := make(chan os.Signal, 1) // one that waits is enough: the file is read after it
 	signal.Notify(hangups, syscall.SIGHUP)
 	log, err := flags.logger(errs)
@@ -117,5 +122,6 @@
 			return fmt.Errorf("listening for operators: %w", err)
 		}
 	}
+	change(&sockets)
 	return agent.Run(ctx, cfg, ops, reloads, sockets, log)
 }
--- a/cmd/ryeweir/main.go
+++ b/cmd/ryeweir/main.go
@@ -64,7 +64,7 @@
 	root.PersistentFlags().StringVar(&log.level, "log-level", defaultLevel(),
 		"least level that is logged: debug (each step of each request), info, warn or error; also "+levelVariable)
 	root.AddCommand(agentCommand(&log), versionCommand(), checkCommand(), demoCommand(), worldCommand(), loadCommand(),
-		experimentCommand(), labCommand(), fleetCommand(), proxyCommand())
+		experimentCommand(), labCommand(), fleetCommand(), proxyCommand(), soakCommand(), soakAgentCommand(&log), soakBackendCommand())
 	for _, c := range root.Commands() {
 		if args := c.Args; args != nil {
 			c.Args = func(c *cobra.Command, given []string) error {
--- /dev/null
+++ b/cmd/ryeweir/soak.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ryeweir/internal/agent"
+	"ryeweir/internal/faultshim"
+	"ryeweir/internal/soak"
+)
+
+// soakFlags are what the soak's command is told.
+type soakFlags struct {
+	seed   uint64
+	plays  int
+	length time.Duration
+	until  time.Duration
+	dir    string
+	kinds  []string
+	plant  []string
+	plan   bool
+}
+
+func soakCommand() *cobra.Command {
+	var f soakFlags
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Random overlapping faults on real processes, checked against the rules",
+		Long: "Plays agents, backends, discoveries and callers as real processes on loopback, lets two or three troubles overlap\n" +
+			"at a time, and checks what each client and backend saw against the rules. Prints the seed of each play, which draws\n" +
+			"the same plan again. Exits with 1 where a rule was broken; logs and the account stay in the folder then.",
+		Example: "  ryeweir soak --seed 7 --plays 20\n  ryeweir soak --seed 7 --kinds agent-term,server-drain",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return runSoak(c.Context(), f, c.OutOrStdout())
+		},
+	}
+	cmd.Flags().Uint64Var(&f.seed, "seed", 1, "of the first play; the next ones count up")
+	cmd.Flags().IntVar(&f.plays, "plays", 1, "how many plays")
+	cmd.Flags().DurationVar(&f.length, "length", 30*time.Second, "of a play")
+	cmd.Flags().DurationVar(&f.until, "for", 0, "begin no play after so long; 0: all plays")
+	cmd.Flags().StringVarP(&f.dir, "output", "o", "", "a folder for logs; none: a temporary one, kept where a rule was broken")
+	cmd.Flags().StringSliceVar(&f.kinds, "kinds", nil, "draw only these troubles")
+	cmd.Flags().StringArrayVar(&f.plant, "plant", nil, "a fault planted in the agents, such as 'duplicate 0.01': the soak must notice it")
+	cmd.Flags().BoolVar(&f.plan, "plan", false, "print the plan and play nothing")
+	return cmd
+}
+
+func runSoak(ctx context.Context, f soakFlags, out io.Writer) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	var only soak.Only
+	for _, kind := range f.kinds {
+		only = append(only, soak.TroubleKind(kind))
+	}
+	began, broken := time.Now(), 0
+	for n := range f.plays {
+		if f.until > 0 && time.Since(began) > f.until {
+			break
+		}
+		plan := soak.Draw(f.seed+uint64(n), f.length, only)
+		if f.plan {
+			fmt.Fprint(out, plan.Describe())
+			continue
+		}
+		held, err := soakOnce(ctx, plan, program, f, out)
+		if err != nil {
+			return err
+		}
+		if !held {
+			broken++
+		}
+	}
+	if broken > 0 {
+		fmt.Fprintf(out, "rules broken in %d plays\n", broken)
+		return errSaid
+	}
+	return nil
+}
+
+// mostShown violations of one rule are printed; the account has all.
+const mostShown = 4
+
+// soakOnce plays one plan, and reports whether the rules held.
+func soakOnce(ctx context.Context, plan *soak.Plan, program string, f soakFlags, out io.Writer) (bool, error) {
+	dir := f.dir
+	var err error
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "ryeweir-soak-"); err != nil {
+			return false, err
+		}
+	} else if dir = filepath.Join(f.dir, fmt.Sprint(plan.Seed)); true {
+		if err = os.MkdirAll(dir, 0o700); err != nil {
+			return false, err
+		}
+	}
+	r, err := soak.Run(ctx, plan, soak.Options{Program: program, Dir: dir, Plant: f.plant, Out: out})
+	if err != nil {
+		return false, err
+	}
+	fmt.Fprintf(out, "seed %d: %d processes, %d requests, %d answered, %d served, %d attempts, %d troubles, latest by %v, %d MB at most, %d violations\n", plan.Seed,
+		r.Processes, r.Requests, r.Answered, r.Served, r.Attempts, len(plan.Troubles), r.Lag.Round(time.Millisecond), r.MostRSS>>20, len(r.Violations))
+	if len(r.Violations) == 0 {
+		if f.dir == "" {
+			err = os.RemoveAll(dir)
+		}
+		return true, err
+	}
+	shown := map[string]int{}
+	for _, v := range r.Violations {
+		if shown[v.Rule]++; shown[v.Rule] <= mostShown {
+			fmt.Fprintln(out, "  ", v)
+		}
+	}
+	for rule, n := range shown {
+		if n > mostShown {
+			fmt.Fprintf(out, "   %s: %d in all\n", rule, n)
+		}
+	}
+	fmt.Fprintln(out, "   logs in", dir)
+	return false, r.Save(dir)
+}
+
+// soakAgentCommand is an agent on a machine that fails on command.
+func soakAgentCommand(log *logging) *cobra.Command {
+	var seed uint64
+	var host string
+	var plant []string
+	cmd := &cobra.Command{Use: "soak-agent", Hidden: true, Args: cobra.NoArgs, Short: "An agent of a soak",
+		RunE: func(c *cobra.Command, _ []string) error {
+			machine := faultshim.New(seed)
+			for _, fault := range plant {
+				if err := machine.Do("plant " + fault); err != nil {
+					return usage(err)
+				}
+			}
+			go machine.Follow(c.InOrStdin(), func(line string, err error) { fmt.Fprintln(c.ErrOrStderr(), "soak:", line, err) })
+			return runAgentOn(c.Context(), log, "", peerFlags{}, c.ErrOrStderr(), func(s *agent.Sockets) {
+				s.Clients = machine.Listen(s.Clients)
+				s.Dial = machine.Dial(host)
+				s.TimeOfDay = machine.Wall
+				s.Disk = machine
+			})
+		}}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "of planted faults")
+	cmd.Flags().StringVar(&host, "discovery-host", "", "the host of discovery")
+	cmd.Flags().StringArrayVar(&plant, "plant", nil, "a planted fault and its probability")
+	return cmd
+}
+
+// soakBackendCommand is a backend of a soak.
+func soakBackendCommand() *cobra.Command {
+	var id string
+	var instance int
+	var seed uint64
+	cmd := &cobra.Command{Use: "soak-backend", Hidden: true, Args: cobra.NoArgs, Short: "A backend of a soak",
+		RunE: func(c *cobra.Command, _ []string) error {
+			l, err := net.Listen("tcp", "127.0.0.4:0")
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), l.Addr())
+			return soak.RunBackend(c.Context(), l, id, instance, seed, c.InOrStdin(), c.OutOrStdout())
+		}}
+	cmd.Flags().StringVar(&id, "id", "", "its name in the list")
+	cmd.Flags().IntVar(&instance, "instance", 1, "which process of the backend this is")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "of what it does")
+	return cmd
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,12 +40,15 @@
 	mostSockets       = 4096 // more are never needed, whatever the limit allows
 )
 
-// Sockets are the listening ones of an agent.
+// Sockets are the listening ones of an agent, and what else it is handed of its machine.
 type Sockets struct {
 	Clients   net.Listener
 	Inherited bool         // another process may accept what this one does not
 	Control   net.Listener // for operators; nil without an address for them
 	Dial      pool.Dial    // to servers and discovery; nil for the machine's network
+	// What else an agent has of its machine. Nil for the real one.
+	TimeOfDay func() time.Time
+	Disk      snapshot.Disk
 }
 
 // Run serves until the context ends, then drains as the platform's restarts want it. It closes the sockets.
@@ -66,10 +69,15 @@
 
 	events, monitor := event.NewRecorder(log), invariant.NewMonitor(log)
 	share := shareSockets(cfg.Sockets, sockets)
-	clock := core.NewClock()
+	timeOfDay := sockets.TimeOfDay
+	if timeOfDay == nil {
+		timeOfDay = time.Now
+	}
+	clock := core.NewClockWith(timeOfDay)
 	kept, keep := learnt(cfg, ops.Snapshot)
+	kept.Disk = sockets.Disk
 	if keep {
-		recall(balancer, kept, ops.Snapshot, clock, log)
+		recall(balancer, kept, ops.Snapshot, clock, timeOfDay(), log)
 	}
 	conns, err := pool.New(pool.Config{Settings: ops.Connections.Settings(connections(cfg, share.toBackends)), Buffers: ops.Connections.SocketBufferBytes, ConnectIn: cfg.Site.ConnectTimeout, Seed: cfg.Seed, Clock: clock,
 		Dial: sockets.Dial, Wrap: uphttp.Wrap, Events: events})
@@ -145,7 +153,7 @@
 	})
 	parts.Go(func() { disco.Run(inner) })
 	if keep {
-		parts.Go(func() { snapshot.Keep(ctx, kept, ops.Snapshot.Every.D(), c.Knowledge, log) })
+		parts.Go(func() { snapshot.Keep(ctx, kept, ops.Snapshot.Every.D(), timeOfDay, c.Knowledge, log) })
 	}
 	parts.Go(func() {
 		reloads.follow(inner, cfg, ops, disco, func(fresh operator.File) error {
--- a/internal/agent/learnt.go
+++ b/internal/agent/learnt.go
@@ -28,8 +28,8 @@
 }
 
 // recall starts from what the process before this one had learnt, if that is of use.
-func recall(b *logic.Balancer, f snapshot.File, set operator.Snapshot, clock core.Clock, log *slog.Logger) {
-	k, ago, err := f.Load(time.Now(), set.Oldest.D())
+func recall(b *logic.Balancer, f snapshot.File, set operator.Snapshot, clock core.Clock, now time.Time, log *slog.Logger) {
+	k, ago, err := f.Load(now, set.Oldest.D())
 	switch {
 	case errors.Is(err, snapshot.ErrNone):
 	case err != nil:
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -14,6 +14,7 @@
 	Class, Tenant int           // indices into the settings; a tenant below 0 is none
 	Key           string        // what it is about; may be empty
 	Timeout       time.Duration // how long the answer may take from the message's last byte on
+	Margin        time.Duration // the client waits for so much longer than Timeout
 	Aim           time.Duration // an answer may take so long: until then no server is to blame that none has come
 	Deadline      time.Duration // when that is over, on the core's clock; 0 of a Partial call until Received
 	Partial       bool          // its message still comes in and can be read once
@@ -26,6 +27,7 @@
 	submitted   atomic.Bool
 	submittedAt time.Duration // with a budget: when it was handed over
 	over        atomic.Bool   // has its answer, or the client left; set by the loop only
+	overSince   atomic.Int64  // when that was, on the core's clock
 	gone        chan struct{} // closed with it
 
 	// The loop's own:
@@ -39,7 +41,8 @@
 func (c *Call) Gone() <-chan struct{} { return c.gone }
 
 // ends says that nobody waits for the answer any more. It is called once.
-func (c *Call) ends() {
+func (c *Call) ends(now time.Duration) {
+	c.overSince.Store(int64(now))
 	c.over.Store(true)
 	close(c.gone)
 }
@@ -47,6 +50,9 @@
 // Over reports whether nobody waits for the call's answer any more. It may be called by anybody.
 func (c *Call) Over() bool { return c.over.Load() }
 
+// OverSince is when that began, on the core's clock. It may be called by anybody.
+func (c *Call) OverSince() time.Duration { return time.Duration(c.overSince.Load()) }
+
 func (c *Call) release() {
 	if c.Release != nil {
 		c.Release()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -338,7 +338,7 @@
 // arrive takes a new call. A second one under the id of one that is not over could not be told from it.
 func (c *Core) arrive(call *Call) {
 	if c.calls[call.ID] != nil {
-		call.ends()
+		call.ends(c.clock.Now())
 		call.release()
 		c.give(call, Answer{Verdict: Duplicate, Reason: event.DuplicateID})
 		return
@@ -352,7 +352,7 @@
 		b.Jam(call.taken, c.balancer.Jam())
 		worth := c.cfg.Order.Worth(call.taken, call.Class, call.Tenant)
 		if v := b.Arrive(call.taken, worth); !v.Admit { // refused now, as all that is given up
-			call.ends()
+			call.ends(c.clock.Now())
 			call.release()
 			c.give(call, Answer{Verdict: Refused, Reason: event.BudgetShed, RetryAfter: v.After})
 			return
@@ -366,7 +366,7 @@
 // leave ends a call that nobody waits for. An answer that came before that was noticed is given up.
 func (c *Core) leave(call *Call) {
 	if !call.over.Load() {
-		call.ends()
+		call.ends(c.clock.Now())
 		c.decide(logic.ClientGone{Request: call.ID})
 		c.forget(call)
 		return
@@ -495,7 +495,7 @@
 		a.drop() // two attempts may be served, of which one is passed on; and the client may have left
 		return
 	}
-	call.ends()
+	call.ends(c.clock.Now())
 	c.give(call, a)
 	c.forget(call)
 }
--- /dev/null
+++ b/internal/faultshim/shim_test.go
@@ -0,0 +1,150 @@
+package faultshim
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// pair is a connection through the machine, as an agent accepts and as it dials.
+func pair(t *testing.T, m *Machine) (accepted, dialled net.Conn) {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { raw.Close() })
+	l := m.Listen(raw)
+	dialled, err = m.Dial("127.9.9.9")(t.Context(), "tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if accepted, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close(); dialled.Close() })
+	return accepted, dialled
+}
+
+// Calls fail as often and with the errors that commands say, and work again after that.
+func TestCallsFailOnCommand(t *testing.T) {
+	m := New(1)
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	m.Follow(strings.NewReader("accept ENOBUFS 2\nconnect EMFILE 1\n"), func(line string, err error) { t.Error(line, err) })
+	l := m.Listen(raw)
+	for range 2 {
+		if _, err := l.Accept(); !errors.Is(err, syscall.ENOBUFS) {
+			t.Error(err)
+		}
+	}
+	if _, err := m.Dial("")(t.Context(), "tcp", raw.Addr().String()); !errors.Is(err, syscall.EMFILE) {
+		t.Error(err)
+	}
+	accepted, dialled := pair(t, m)
+	for point, conn := range map[string]net.Conn{"clientread": accepted, "serverread": dialled} {
+		if err := m.Do(point + " ETIMEDOUT 1"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ETIMEDOUT) {
+			t.Errorf("%s: %v", point, err)
+		}
+	}
+	_, dialled = pair(t, m)
+	m.Do("serverwrite EPIPE 1")
+	if _, err := dialled.Write([]byte("x")); !errors.Is(err, syscall.EPIPE) {
+		t.Error(err)
+	}
+	for _, wrong := range []string{"accept", "accept ENONE", "fly away", "clock soon", "hold 1s many", "plant duplicate"} {
+		if m.Do(wrong) == nil {
+			t.Errorf("%q was taken", wrong)
+		}
+	}
+}
+
+// The time of day is stepped, and writes are held up; no other clock is.
+func TestClockAndHolds(t *testing.T) {
+	m := New(1)
+	m.Do("clock -1h")
+	if got := time.Until(m.Wall()); got > -59*time.Minute {
+		t.Errorf("the clock is off by %v", got)
+	}
+	m.Do("hold 60ms 1")
+	accepted, dialled := pair(t, m)
+	for _, least := range []time.Duration{60 * time.Millisecond, 0} {
+		before := time.Now()
+		dialled.Write([]byte("x"))
+		if took := time.Since(before); took < least {
+			t.Errorf("held up for %v", took)
+		}
+	}
+	m.Do("shortread 1m")
+	if n, err := accepted.Read(make([]byte, 2)); n != 1 || err != nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
+
+// A disk that fails leaves the file as it was; one that works replaces it whole.
+func TestDisk(t *testing.T) {
+	m := New(1)
+	path := filepath.Join(t.TempDir(), "file")
+	if err := m.Replace(path, []byte("first")); err != nil {
+		t.Fatal(err)
+	}
+	m.Do("disk ENOSPC")
+	if err := m.Replace(path, []byte("second")); !errors.Is(err, syscall.ENOSPC) {
+		t.Error(err)
+	}
+	if text, _ := os.ReadFile(path); string(text) != "first" {
+		t.Errorf("%q", text)
+	}
+	m.Do("disk ok")
+	m.Replace(path, []byte("third"))
+	if text, _ := os.ReadFile(path); string(text) != "third" {
+		t.Errorf("%q", text)
+	}
+}
+
+// A planted fault strikes: here bytes go out twice, and a byte of an answer is another.
+func TestPlantedFaults(t *testing.T) {
+	m := New(1)
+	accepted, dialled := pair(t, m)
+	m.Do("plant wrong 1")
+	io.WriteString(accepted, "answer")
+	buf := make([]byte, 6)
+	if io.ReadFull(dialled, buf); string(buf) == "answer" {
+		t.Error("the answer is unchanged")
+	}
+	m.Do("plant duplicate 1")
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	c, err := m.Dial("")(t.Context(), "tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "request")
+	for range 2 {
+		got, err := raw.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := make([]byte, 7)
+		if io.ReadFull(got, text); string(text) != "request" {
+			t.Errorf("%q", text)
+		}
+		got.Close()
+	}
+}
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -87,10 +87,12 @@
 		release()
 		return nil, nil, nil, badRequest{http.StatusBadRequest, "a GET has no body"}
 	}
+	margin := min(deadlineMargin, timeout/4)
 	m = &httpmsg.Message{Head: appendHead(nil, r, &body), Body: body}
 	c = &core.Call{
 		ID: first(r.Header, requestIDHeader), Class: index, Tenant: tenant, Key: first(r.Header, routeKeyHeader),
-		Timeout: timeout - min(deadlineMargin, timeout/4),
+		Timeout: timeout - margin,
+		Margin:  margin,
 		Aim:     class.Aim,
 		Partial: body.Rest != nil,
 		Careful: class.Effect != logic.Safe,
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -142,11 +142,14 @@
 	return p.nodes[id]
 }
 
-// TakesNew reports whether the server may still get something new in this life.
-func (p *Pool) TakesNew(n *Node) bool {
+// TakesNew reports whether the server may still get something new in this life, and if not, since when.
+func (p *Pool) TakesNew(n *Node) (takes bool, since time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return n != nil && n.ready
+	if n == nil {
+		return false, 0
+	}
+	return n.ready, n.unready
 }
 
 // Get returns a connection to the server that is up by then, or an error that wraps one of the reasons above. Careful is what
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -32,6 +32,7 @@
 	started  time.Duration // 0: long ago
 	at       int           // in the table's nodes; -1 when it is not there any more
 	ready    bool          // may get new requests
+	unready  time.Duration // since when it may not
 	retired  bool
 	places   int // slots open or opening
 	opening  int
@@ -174,6 +175,9 @@
 // connections close; those in use close when they come back.
 func (t *Table) SetReady(now time.Duration, n *Node, ready bool) []Action {
 	t.begin()
+	if n.ready && !ready {
+		n.unready = now
+	}
 	n.ready = ready
 	if !ready {
 		t.refuseAll(n, NoServer)
--- /dev/null
+++ b/internal/soak/plan_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"testing"
+	"time"
+)
+
+// A seed draws the same plan each time, another seed another one; two or three troubles overlap at least once in each.
+func TestPlanFollowsFromTheSeed(t *testing.T) {
+	plans := map[string]bool{}
+	for seed := range uint64(50) {
+		p := Draw(seed, 30*time.Second, nil)
+		text := p.Describe()
+		if again := Draw(seed, 30*time.Second, nil).Describe(); again != text {
+			t.Fatalf("seed %d draws\n%s\nand\n%s", seed, text, again)
+		}
+		plans[text] = true
+		overlap := 0
+		for i, a := range p.Troubles {
+			if a.From < quietStart || a.From > p.Length {
+				t.Errorf("seed %d: %v is outside of the play", seed, a)
+			}
+			for _, b := range p.Troubles[i+1:] {
+				if b.From < a.From+a.For {
+					overlap++
+				}
+			}
+		}
+		if overlap < 5 {
+			t.Errorf("seed %d: %d troubles overlap", seed, overlap)
+		}
+	}
+	if len(plans) != 50 {
+		t.Errorf("50 seeds draw %d plans", len(plans))
+	}
+}
+
+// Every kind of trouble is drawn by some seed, and kinds can be left out.
+func TestAllKindsAreDrawn(t *testing.T) {
+	seen := map[TroubleKind]bool{}
+	for seed := range uint64(60) {
+		for _, trouble := range Draw(seed, time.Minute, nil).Troubles {
+			seen[trouble.Kind] = true
+		}
+		for _, trouble := range Draw(seed, time.Minute, Only{AgentTerm, PathCut}).Troubles {
+			if trouble.Kind != AgentTerm && trouble.Kind != PathCut {
+				t.Errorf("seed %d drew %v", seed, trouble)
+			}
+		}
+	}
+	for _, kind := range troubleKinds {
+		if !seen[kind] {
+			t.Errorf("no seed drew %s", kind)
+		}
+	}
+}
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -332,8 +332,7 @@
 // write writes the request whole, or fails.
 func (x *exchange) write(answered *atomic.Bool) error {
 	a, m := x.attempt, x.message
-	checked := x.Clock.Now()
-	left := min(a.Call.Timeout, max(0, a.Until()-checked))
+	left := min(a.Call.Timeout, max(0, a.Until()-x.Clock.Now()))
 	text := append(x.state.text[:0], m.Head...)
 	text = append(text, httpmsg.TimeoutHeader+": "...)
 	text = strconv.AppendInt(text, left.Microseconds(), 10)
@@ -348,7 +347,7 @@
 		}
 		_, err := x.conn.Write(text)
 		after := x.send(a, x.node)
-		x.Monitor.Sent(a.Call.ID, checked, after, left, min(a.Call.Timeout, max(0, a.Until()-after.Now)))
+		x.Monitor.Sent(a.Call.ID, after, left, a.Until()+a.Call.Margin-after.Now)
 		return err
 	}
 	w := bufio.NewWriterSize(stallWriter{x.conn, answered}, writeBuffer)
--- a/internal/upstream/http/probe.go
+++ b/internal/upstream/http/probe.go
@@ -34,13 +34,14 @@
 			return out
 		}
 		c, err := u.Pool.GetSpare(ctx, node, until)
+		takesNew, _ := u.Pool.TakesNew(node) // it may have begun to drain during a handshake
 		switch {
 		case errors.Is(err, pool.ErrNotReady) || errors.Is(err, pool.ErrNoRoom) || errors.Is(err, pool.ErrLate):
 			return out
 		case err != nil:
 			out.Result = logic.ConnectFailed
 			return out
-		case !u.Pool.TakesNew(node): // it may have begun to drain during a handshake
+		case !takesNew:
 			u.Pool.Put(c, pool.Unused)
 			return out
 		}
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -66,5 +66,7 @@
 
 // send describes an attempt at this moment, for the send guard.
 func (u *Upstream) send(a *core.Attempt, node *pool.Node) invariant.Send {
-	return invariant.Send{Now: u.Clock.Now(), WriteBy: a.WriteBy, RequestOver: a.Call.Over(), TakesNew: u.Pool.TakesNew(node)}
+	takes, since := u.Pool.TakesNew(node)
+	return invariant.Send{Now: u.Clock.Now(), WriteBy: a.WriteBy, RequestOver: a.Call.Over(), OverSince: a.Call.OverSince(),
+		TakesNew: takes, RetiredSince: since}
 }
