--- /dev/null
+++ b/internal/agent/accept_test.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"ryeweir/internal/config/operator"
+	"ryeweir/internal/config/platform"
+	"ryeweir/internal/testkit"
+)
+
+// failing is a listener whose accepts fail when told to, with connections waiting behind that.
+type failing struct {
+	net.Listener
+	mu    sync.Mutex
+	fails []syscall.Errno
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	f.mu.Lock()
+	if len(f.fails) > 0 {
+		errno := f.fails[0]
+		f.fails = f.fails[1:]
+		f.mu.Unlock()
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}
+	}
+	f.mu.Unlock()
+	return f.Listener.Accept()
+}
+
+func (f *failing) next(errnos ...syscall.Errno) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fails = errnos
+}
+
+// An accept that fails ends nothing: the request that is in flight gets its answer, and the next connection is taken. accept(2)
+// lists these errors, among them those of the network that are to be treated like EAGAIN.
+func TestAcceptThatFails(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.ENETUNREACH,
+		syscall.EPERM, syscall.EMFILE, syscall.ENFILE, syscall.EINTR, syscall.ETIMEDOUT, syscall.ECONNABORTED, syscall.EOPNOTSUPP, syscall.ENONET} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			t.Parallel()
+			b := testkit.NewBackend(t, func(c net.Conn, r *http.Request, n int) bool {
+				time.Sleep(300 * time.Millisecond)
+				return testkit.Says(testkit.ServedText)(c, r, n)
+			})
+			d := testkit.NewDiscovery(t, 1, testkit.EntryText("b", b.Addr().String(), "Ready", 0))
+			l := &failing{Listener: testkit.Listen(t)}
+			a := runOn(t, d, l)
+			answers := make(chan int, 1)
+			go func() { answers <- status(a.newRequest(t, http.MethodGet, "/form-check", "")) }()
+			testkit.Eventually(t, "the request is in flight", func() bool { return b.Requests() > 0 })
+			l.next(errno, errno, errno)
+			a.status(t, "/ready") // the accept that waits goes on with this connection, the ones behind it fail
+			if got := <-answers; got != http.StatusOK {
+				t.Errorf("in flight: %d", got)
+			}
+			if got := status(a.newRequest(t, http.MethodGet, "/form-check", "")); got != http.StatusOK {
+				t.Errorf("after it: %d", got)
+			}
+		})
+	}
+}
+
+// status is that of a request's answer; 0 without one.
+func status(r *http.Request) int {
+	client := http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// runOn runs an agent on a listener for its clients.
+func runOn(t *testing.T, d *testkit.Discovery, l net.Listener) *running {
+	t.Helper()
+	cfg, err := platform.Parse(testkit.ConfigText(d.Addr().String(), "null"), testkit.NoEnv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.AcceptFor = 0
+	ctx, stop := context.WithCancel(context.Background())
+	a := &running{site: cfg.Site, addr: l.Addr().String(), url: "http://" + l.Addr().String(), stop: stop, done: make(chan error, 1)}
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		a.done <- Run(ctx, cfg, operator.Default(), Reloads{}, Sockets{Clients: l}, slog.New(slog.DiscardHandler))
+	}()
+	t.Cleanup(func() { stop(); <-finished })
+	testkit.Eventually(t, "the agent is ready", func() bool { return a.status(t, "/ready") == http.StatusOK })
+	return a
+}
--- a/internal/connlimit/ahead_test.go
+++ b/internal/connlimit/ahead_test.go
@@ -50,7 +50,12 @@
 
 func (w *watched) dial(t *testing.T) *net.TCPConn {
 	t.Helper()
-	c, err := net.Dial("tcp", w.l.Addr().String())
+	return dial(t, w.l)
+}
+
+func dial(t *testing.T, l *Listener) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -325,3 +325,5 @@
 		t.Errorf("%d members", len(l.Members))
 	}
 }
+
+func discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
