Keep accepting, keep the subscription and keep the request that a deadline of others hit

Causes and lines at fault: 1. discovery.Client.begin asked anew only where the address differs, while Move had ended a session that held the module's only subscription.

--- /dev/null
+++ b/internal/accept/accept_test.go
@@ -0,0 +1,97 @@
+package accept
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// script is a listener that gives what it is told to, one after another, and then waits until it is closed.
+type script struct {
+	net.Listener
+	next   []error
+	closed chan struct{}
+	times  []time.Time
+}
+
+func (s *script) Accept() (net.Conn, error) {
+	s.times = append(s.times, time.Now())
+	if len(s.next) == 0 {
+		<-s.closed
+		return nil, net.ErrClosed
+	}
+	err := s.next[0]
+	s.next = s.next[1:]
+	if err != nil {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
+	}
+	c, _ := net.Pipe()
+	return c, nil
+}
+
+func (s *script) Close() error {
+	close(s.closed)
+	return nil
+}
+
+// Failures are tried again after a pause that grows within bounds, begins anew after a success, and are counted by their error;
+// the log has the first of a run.
+func TestFailuresAreTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{closed: make(chan struct{}), next: []error{nil, syscall.ENOBUFS, syscall.ENOBUFS, nil, syscall.EPERM, nil}}
+		for range 12 {
+			s.next = append(s.next, syscall.EMFILE)
+		}
+		s.next = append(s.next, nil)
+		var log strings.Builder
+		l := New(s, slog.New(slog.NewTextHandler(&log, nil)), nil)
+		for range 4 {
+			if _, err := l.Accept(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i, want := range []time.Duration{0, FirstPause, 2 * FirstPause, 0, FirstPause, 0, FirstPause} {
+			if i+1 < len(s.times) && i != 2 && s.times[i+1].Sub(s.times[i]) != want {
+				t.Errorf("pause %d is %v, want %v", i, s.times[i+1].Sub(s.times[i]), want)
+			}
+		}
+		last := len(s.times) - 1
+		if pause := s.times[last].Sub(s.times[last-1]); pause != LongestPause {
+			t.Errorf("the longest pause is %v", pause)
+		}
+		if n := strings.Count(log.String(), "trying again"); n != 3 {
+			t.Errorf("%d lines in the log", n)
+		}
+		counts, err := json.Marshal(l)
+		if want := `{"no buffer space available":2,"operation not permitted":1,"too many open files":12}`; string(counts) != want || err != nil {
+			t.Errorf("%s, %v", counts, err)
+		}
+	})
+}
+
+// A listener that is closed ends the wait, also that after a failure, at once.
+func TestCloseEndsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{closed: make(chan struct{})}
+		for range 100 {
+			s.next = append(s.next, io.ErrUnexpectedEOF)
+		}
+		l := New(s, slog.New(slog.DiscardHandler), nil)
+		ended := make(chan error, 1)
+		go func() { _, err := l.Accept(); ended <- err }()
+		time.Sleep(2*time.Second + time.Millisecond)
+		began := time.Now()
+		l.Close()
+		if err := <-ended; !errors.Is(err, net.ErrClosed) || time.Since(began) > 0 {
+			t.Errorf("%v after %v", err, time.Since(began))
+		}
+	})
+}
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -217,12 +217,17 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
-	if c.deadline = t; c.retired {
+	if c.deadline = t; c.retired && !interrupts(t) {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// interrupts reports whether a deadline is there to end a read that waits: net/http ends its look for a client that leaves so.
+func interrupts(deadline time.Time) bool {
+	return !deadline.IsZero() && deadline.Before(longAgo.Add(time.Second))
+}
+
 // Close closes the listener, not the connections.
 func (t *Listener) Close() error {
 	t.mu.Lock()
@@ -240,10 +245,14 @@
 	a.reading = true
 	a.stop(c)
 	n, err, held := a.take(p)
-	if !held {
+	for !held {
 		t.mu.Unlock()
 		n, err = c.Conn.Read(p)
 		t.mu.Lock()
+		if !c.looksOn(len(p), err) {
+			break
+		}
+		c.Conn.SetReadDeadline(time.Time{})
 	}
 	a.reading, a.behind = false, n == 1 && len(p) == 1
 	if n > 0 {
@@ -253,6 +262,13 @@
 	return n, err
 }
 
+// looksOn reports whether a read that failed is net/http's look for a client that leaves, of one byte, and what ended it was meant
+// for another read: the limit of a body whose last byte has just come, or the end of a resting connection in which a request has
+// been read meanwhile. Such a look goes on, as net/http takes each of its failures but its own for a client that has left.
+func (c *Conn) looksOn(size int, err error) bool {
+	return size == 1 && timedOut(err) && !interrupts(c.deadline)
+}
+
 // noteReadError takes in why reading failed: the client is gone, or time was over. The lock is held.
 func (c *Conn) noteReadError(err error) {
 	switch {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -134,6 +134,9 @@
 	have    map[string]core.Member
 	badOnce bool
 	down    bool
+	// subscribed says that the module has subscribed and was not told that this ended. A session that ends for another one
+	// leaves it so: the next goes on with it.
+	subscribed bool
 }
 
 // New returns a client that asks nothing until it runs.
@@ -224,6 +227,9 @@
 func (d *Client) Move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if addr == d.addr {
+		return
+	}
 	d.addr = addr
 	d.drop()
 }
@@ -249,7 +255,9 @@
 	if d.at != d.addr {
 		d.at, d.version, d.down = d.addr, -1, false
 		d.client.CloseIdleConnections()
-		d.Ask() // the module's subscription was with the old one
+		if !d.subscribed { // the module waits to ask the old one again
+			d.Ask()
+		}
 	}
 	return session, end
 }
@@ -257,12 +265,8 @@
 // session follows the list at one address until the context ends.
 func (d *Client) session(ctx context.Context) {
 	for ctx.Err() == nil {
-		if d.asked {
-			select {
-			case <-d.subscribe:
-			case <-ctx.Done():
-				return
-			}
+		if !d.awaitSubscription(ctx) {
+			return
 		}
 		err := d.follow(ctx)
 		if ctx.Err() != nil {
@@ -275,6 +279,7 @@
 			d.log.Warn("discovery out of reach, keeping the last list", "version", d.version, "error", err)
 		}
 		if d.asked { // the module says when to ask again
+			d.subscribed = false
 			d.sink.ListUnavailable()
 			continue
 		}
@@ -285,6 +290,20 @@
 	}
 }
 
+// awaitSubscription waits until the list may be followed; false says that the context has ended.
+func (d *Client) awaitSubscription(ctx context.Context) bool {
+	if !d.asked || d.subscribed {
+		return true
+	}
+	select {
+	case <-d.subscribe:
+		d.subscribed = true
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // follow watches for changes until a call fails or a change was missed. It begins with the whole list, unless it holds
 // one: then what has changed since is all that is missing, and discovery has half the work.
 func (d *Client) follow(ctx context.Context) error {
--- a/internal/front/http/serve.go
+++ b/internal/front/http/serve.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"ryeweir/internal/accept"
 	"ryeweir/internal/connlimit"
 	"ryeweir/internal/event"
 	"ryeweir/internal/flow"
@@ -27,7 +28,8 @@
 // Serve answers clients until the context ends and what was taken by then is answered. A socket that is inherited is
 // accepted on by the process before this one, too: this one begins when it has somebody to send to, and stops at once.
 func (s *Server) Serve(ctx context.Context, l net.Listener, inherited bool) error {
-	clients := connlimit.New(framing.Listener{Listener: flow.Listener{Listener: l, Bytes: s.SocketBuffer}}, s.Most)
+	accepting := accept.New(l, s.Log, s.Events)
+	clients := connlimit.New(framing.Listener{Listener: flow.Listener{Listener: accepting, Bytes: s.SocketBuffer}}, s.Most)
 	clients.Head, clients.Events, clients.Monitor = headerTimeout, s.Events, s.Monitor
 	defer clients.Close()
 	s.crowded = clients.Crowded
