--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -562,3 +562,34 @@
 		}
 	}
 }
+
+// A connection that is given back unused has stood idle all the while: its idle time goes on, and its next request is its first.
+func TestUnusedStandsOn(t *testing.T) {
+	set := DefaultSettings(4)
+	set.Idle, set.Rest = 10*time.Second, 0
+	table := NewTable(set, 1)
+	n := table.NewNode(time.Second, "b", "addr", 0)
+	table.SetReady(time.Second, n, true)
+	_, _, actions := table.Want(time.Second, n, false)
+	var s *Slot
+	for _, a := range actions {
+		if a.Kind == Open {
+			s = a.Slot
+		}
+	}
+	table.Opened(time.Second, s) // handed to who waits
+	table.Done(time.Second, s, InOrder)
+	for _, at := range []time.Duration{5, 8} {
+		got, _, _ := table.Want(at*time.Second, n, false)
+		if got != s {
+			t.Fatalf("at %d s it is not handed out", at)
+		}
+		table.Done(at*time.Second, s, Unused)
+	}
+	if got, _, _ := table.Want(10*time.Second, n, false); got == s {
+		t.Error("a connection that has stood idle for 9 s of 10 is used, as if it had been used meanwhile")
+	}
+	if s.uses != 1 {
+		t.Errorf("%d uses", s.uses)
+	}
+}
