Serve without a log reader, through steps of the clock, and remember how long connections stood

The test of a start at the epoch built a Clock by its fields; it holds the same through 1,000 readings of two clocks now.

--- a/cmd/ryeweir/agent.go
+++ b/cmd/ryeweir/agent.go
@@ -18,6 +18,7 @@
 	"ryeweir/internal/config/operator"
 	"ryeweir/internal/config/platform"
 	"ryeweir/internal/handover"
+	"ryeweir/internal/logwriter"
 )
 
 // gcPercent lets the heap grow to five times what is in use before it is swept: that is a few MB, and sweeping a small heap
@@ -76,7 +77,10 @@
 func runAgentOn(ctx context.Context, flags *logging, operators string, at peerFlags, errs io.Writer, change func(*agent.Sockets)) error {
 	hangups := make(chan os.Signal, 1) // one that waits is enough: the file is read after it
 	signal.Notify(hangups, syscall.SIGHUP)
-	log, err := flags.logger(errs)
+	signal.Ignore(syscall.SIGPIPE) // of a log whose reader has died
+	lines := logwriter.New(errs)
+	defer lines.Close()
+	log, err := flags.logger(lines)
 	if err != nil {
 		return err
 	}
--- a/internal/core/clock.go
+++ b/internal/core/clock.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// Clock turns times into the module's: durations since one epoch, by the monotonic clock.
+// Clock turns times into the module's: durations since one epoch, by the monotonic clock. Steps of the time of day do not
+// touch it.
 type Clock struct {
-	epoch time.Time
-	wall  time.Time // the time of day at the epoch
+	epoch     time.Time
+	timeOfDay func() time.Time
 }
 
 // NewClock starts a second in, because 0 stands for "never" in the module.
@@ -13,7 +14,7 @@
 
 // NewClockWith is NewClock with another source for the time of day.
 func NewClockWith(timeOfDay func() time.Time) Clock {
-	return Clock{epoch: time.Now().Add(-time.Second), wall: timeOfDay().Add(-time.Second)}
+	return Clock{epoch: time.Now().Add(-time.Second), timeOfDay: timeOfDay}
 }
 
 // Now is the time on this clock.
@@ -22,12 +23,13 @@
 // At is the time of day at a time on this clock.
 func (c Clock) At(t time.Duration) time.Time { return c.epoch.Add(t) }
 
-// FromUnix converts Unix milliseconds; 0 stays 0, and nothing else becomes 0.
+// FromUnix converts Unix milliseconds by the time of day as it is now; 0 stays 0, and nothing else becomes 0. After a step of
+// the time of day the same milliseconds give another time: who compares times keeps the first.
 func (c Clock) FromUnix(ms int64) time.Duration {
 	if ms == 0 {
 		return 0
 	}
-	if t := time.UnixMilli(ms).Sub(c.wall); t != 0 {
+	if t := c.Now() - c.timeOfDay().Sub(time.UnixMilli(ms)); t != 0 {
 		return t
 	}
 	return 1
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -67,9 +67,12 @@
 	if c.FromUnix(1) >= 0 {
 		t.Error("a start before the epoch is not below 0")
 	}
-	exact := Clock{wall: time.UnixMilli(77)}
-	if exact.FromUnix(77) == 0 {
-		t.Error("a start at the epoch became 0")
+	for range 1000 { // the two clocks are read one after the other: now and then the sum is 0
+		at := c.epoch
+		exact := Clock{epoch: at, timeOfDay: func() time.Time { return time.UnixMilli(77).Add(time.Since(at)) }}
+		if exact.FromUnix(77) == 0 {
+			t.Error("a start at the epoch became 0")
+		}
 	}
 	if c.Now() <= 0 {
 		t.Error("the clock starts at 0")
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -131,7 +131,8 @@
 	wait    time.Duration // of the next watch
 	at      string        // the address that is followed
 	version int64
-	have    map[string]core.Member
+	have    map[string]held
+	heard   time.Duration // when discovery last answered; 0: not yet
 	badOnce bool
 	down    bool
 	// subscribed says that the module has subscribed and was not told that this ended. A session that ends for another one
@@ -139,6 +140,12 @@
 	subscribed bool
 }
 
+// held is what is held of a server.
+type held struct {
+	core.Member
+	startedMS int64
+}
+
 // New returns a client that asks nothing until it runs.
 func New(cfg Config) *Client {
 	if cfg.Dial == nil {
@@ -160,7 +167,7 @@
 		sink:      cfg.Sink,
 		log:       cfg.Log,
 		events:    cfg.Events,
-		have:      map[string]core.Member{},
+		have:      map[string]held{},
 		version:   -1,
 	}
 	if (cfg.Asked || cfg.Agents > usualFleet) && len(d.known.Servers) > 0 { // changes are all that is asked for
@@ -253,7 +260,7 @@
 	session, end := context.WithCancel(ctx)
 	d.drop = end
 	if d.at != d.addr {
-		d.at, d.version, d.down = d.addr, -1, false
+		d.at, d.version, d.down, d.heard = d.addr, -1, false, 0
 		d.client.CloseIdleConnections()
 		if !d.subscribed { // the module waits to ask the old one again
 			d.Ask()
@@ -409,10 +416,11 @@
 		}
 	}
 	if l.Version < d.version || l.Version == d.version && !l.Full {
+		d.heard = d.clock.Now()
 		return nil // what is held is newer
 	}
 	members := d.members(l)
-	d.version = l.Version
+	d.version, d.heard = l.Version, d.clock.Now()
 	applied := event.Event{Kind: event.ListApplied}
 	if d.events.Verbose() {
 		applied.Detail = fmt.Sprintf("version %d, full %v: %s", l.Version, l.Full, summary(members))
@@ -443,7 +451,7 @@
 // members decodes the entries. A malformed one is passed over, which must not look as if its backend had been
 // taken from the list: what was held of it stands.
 func (d *Client) members(l List) []core.Member {
-	out := make([]core.Member, 0, len(l.Servers))
+	all := make([]held, 0, len(l.Servers))
 	for _, raw := range l.Servers {
 		m, id, err := d.member(raw)
 		if err != nil {
@@ -452,16 +460,18 @@
 				d.log.Warn("passing over a malformed list entry; further ones are not logged", "entry", id, "error", err)
 			}
 			if old, ok := d.have[id]; ok {
-				out = append(out, old)
+				all = append(all, old)
 			}
 			continue
 		}
-		out = append(out, m)
+		all = append(all, m)
 	}
 	if l.Full {
 		clear(d.have)
 	}
-	for _, m := range out {
+	out := make([]core.Member, 0, len(all))
+	for _, m := range all {
+		out = append(out, m.Member)
 		d.have[m.ID] = m
 		if m.State == logic.Gone {
 			delete(d.have, m.ID)
@@ -470,7 +480,8 @@
 	return out
 }
 
-func (d *Client) member(raw json.RawMessage) (m core.Member, id string, err error) {
+// member decodes an entry. It returns the entry's id also with an error, as far as that could be read.
+func (d *Client) member(raw json.RawMessage) (m held, id string, err error) {
 	var e entry
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return m, e.ID, err
@@ -482,8 +493,28 @@
 	if _, _, err := net.SplitHostPort(e.Addr); err != nil && state != logic.Gone {
 		return m, e.ID, err
 	}
-	return core.Member{Addr: e.Addr, Server: logic.Server{ID: e.ID, State: state, Zone: slices.Index(d.zones, e.Zone), Cell: e.Cell,
-		Weight: e.Weight, Started: d.clock.FromUnix(e.StartedMS)}}, e.ID, nil
+	server := logic.Server{ID: e.ID, State: state, Zone: slices.Index(d.zones, e.Zone), Cell: e.Cell, Weight: e.Weight, Started: d.started(e)}
+	return held{core.Member{Addr: e.Addr, Server: server}, e.StartedMS}, e.ID, nil
+}
+
+// lateListing is how long before it is listed a server may have started that is new in the list.
+const lateListing = 10 * time.Second
+
+// started is when a server started, on the agent's clock. What was once said of a start stands, whatever becomes of the time of
+// day. A new one is not in the future, and where discovery was heard not long before without it, not long before that: then the
+// time of day has been stepped in between.
+func (d *Client) started(e entry) time.Duration {
+	if old, known := d.have[e.ID]; known && old.startedMS == e.StartedMS {
+		return old.Started
+	}
+	if e.StartedMS == 0 {
+		return 0
+	}
+	at := min(d.clock.FromUnix(e.StartedMS), d.clock.Now())
+	if d.heard > 0 {
+		at = max(at, d.heard-lateListing)
+	}
+	return at
 }
 
 // sleep waits, or until the context ends.
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -312,7 +312,8 @@
 		n.outlived(now, s.stood, t.set.IdleHeal)
 		t.free(now, s)
 	case Unused:
-		t.free(now, s)
+		s.uses--
+		t.freeSince(now, s, s.came)
 	case Over:
 		t.close(s, WhyAge)
 	case Crossed:
@@ -467,10 +468,13 @@
 }
 
 // free takes a slot that has come free: for who waits, or among the idle ones.
-func (t *Table) free(now time.Duration, s *Slot) {
+func (t *Table) free(now time.Duration, s *Slot) { t.freeSince(now, s, now) }
+
+// freeSince is free with a slot that has stood idle since then: one that was handed out and not used.
+func (t *Table) freeSince(now time.Duration, s *Slot, came time.Duration) {
 	n := s.Node
 	s.inUse = false
-	s.came = now
+	s.came = came
 	if !n.ready {
 		t.close(s, WhyRetired)
 		return
@@ -483,7 +487,13 @@
 		t.close(s, WhyRoom)
 		return
 	}
-	n.idle = append(n.idle, s)
+	at, _ := slices.BinarySearchFunc(n.idle, came, func(other *Slot, came time.Duration) int {
+		if other.came <= came {
+			return -1
+		}
+		return 1
+	})
+	n.idle = slices.Insert(n.idle, at, s)
 	s.takeable = true
 	t.idle++
 	if t.young(now, s) {
