--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"io"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -327,3 +330,29 @@
 }
 
 func discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// A discovery that counts anew may answer a watch with the whole list, of a lower version than the one that is held. The list is
+// taken before long: else nothing was ever heard of that discovery again.
+func TestCountsAnewWithTheWholeList(t *testing.T) {
+	var anew atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		since := r.URL.Query().Get("since")
+		switch {
+		case !anew.Load() && since == "":
+			io.WriteString(w, testkit.ListText(41, true, testkit.EntryText("s-1", "127.0.0.1:1", "Ready", 0)))
+		case anew.Load() && since != "3":
+			io.WriteString(w, testkit.ListText(3, true, testkit.EntryText("s-2", "127.0.0.1:2", "Ready", 0)))
+		default:
+			time.Sleep(20 * time.Millisecond)
+			io.WriteString(w, testkit.ListText(41, false))
+		}
+	}))
+	t.Cleanup(server.Close)
+	d, events := follower(t, strings.TrimPrefix(server.URL, "http://"), 1, "null", io.Discard)
+	follow(t, d)
+	next(t, events)
+	anew.Store(true)
+	if l := next(t, events); !l.Full || len(l.Members) != 1 || l.Members[0].ID != "s-2" {
+		t.Errorf("%+v", l)
+	}
+}
--- a/internal/front/http/server_test.go
+++ b/internal/front/http/server_test.go
@@ -1,6 +1,7 @@
 package http
 
 import (
+	"bufio"
 	"context"
 	"log/slog"
 	"net/http"
@@ -194,3 +195,19 @@
 		}
 	}
 }
+
+// Path and query go on as the client wrote them, also characters that Go would write in another way.
+func TestTargetGoesOnUnchanged(t *testing.T) {
+	for _, target := range []string{"/form-check", "/form-check/a%2Fb?x=1&y", "/form-check/a|b^{c}\"d\"", "/form-check/%7Ea%2c?", "/form-check//b/../c?q=a+b%20c", "/form-check/ä"} {
+		_, r := newServer(t, http.MethodGet, "/form-check", "")
+		parsed, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + target + " HTTP/1.1\r\nHost: o\r\n\r\n")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.URL, r.RequestURI = parsed.URL, parsed.RequestURI
+		got, _, _ := strings.Cut(string(appendHead(nil, r, &httpmsg.Body{})), "\r\n")
+		if want := "GET " + target + " HTTP/1.1"; got != want {
+			t.Errorf("%q goes on as %q", want, got)
+		}
+	}
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -177,6 +177,7 @@
 	}
 	late := q.Ended - stopped(life, q.Sent, q.Ended) - q.Sent - q.Timeout
 	switch {
+	case q.Err == lateAnswer && late <= answerGrace+a.slack: // its client gave up while the agent was paused
 	case late > answerGrace+a.slack: // a client that got none gives up long after that
 		a.violated("late", q.Ended, q, "%s: %v after its time of %v (%s)", q.Habit, late.Round(time.Millisecond), q.Timeout, q.outcome())
 	case q.Status == 200 && q.Whole:
@@ -257,6 +258,9 @@
 
 // checkRepeats: what may have run goes out again only where its class allows.
 func (a *account) checkRepeats(q *Request, cl class, of []Attempt) {
+	if q.Resent && slices.ContainsFunc(a.lifeOf(q).faults, func(f span) bool { return f.overlaps(q.Sent-2*time.Second, q.Ended, 0) }) {
+		return // a read that was made to fail ended the connection of the first: for the agent that client had left
+	}
 	var first *Attempt
 	for n := range of {
 		at := &of[n]
