Let everybody run before a look gives up, pass paths on as they came, take a list that counts anew

1. core.watch gives an answer or an attempt up only when three looks in a row (0.5 s apart) found it overdue; lines: border.go, watch. 2. appendHead writes the request's target as it came, in origin form. 3. discovery.take: any answer to a watch whose version is lower makes the next call one for the whole list, which is taken.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -38,6 +38,7 @@
 	core    *Core
 	tell    func(Outcome) // of one outside a core
 	next    *Attempt      // the one before it of the same call that is in flight
+	overdue int           // looks of the core that found its outcome overdue
 }
 
 // Until is when the agent stops waiting, on the core's clock.
--- a/internal/core/border.go
+++ b/internal/core/border.go
@@ -32,17 +32,22 @@
 	watchEvery = 500 * time.Millisecond
 	overdueBy  = time.Second     // past the end of its time an attempt's outcome is taken to be unknown
 	takenIn    = 2 * time.Second // a front takes an answer as soon as it is there
+
+	// overdueLooks is how many looks in a row must find something overdue. The first look after a pause of the process finds
+	// everything so: until the next one, whoever was about to run has run.
+	overdueLooks = 3
 )
 
 // handed is an answer that may not have been taken yet.
 type handed struct {
-	answer chan Answer
-	at     time.Duration
+	answer  chan Answer
+	at      time.Duration
+	overdue int // looks in a row that found it so
 }
 
 func (c *Core) give(call *Call, a Answer) {
 	call.answer <- a
-	c.given = append(c.given, handed{call.answer, c.clock.Now()})
+	c.given = append(c.given, handed{answer: call.answer, at: c.clock.Now()})
 }
 
 // show lets the budget's figures be read.
@@ -64,6 +69,9 @@
 		case len(h.answer) == 0:
 		case now-h.at < takenIn:
 			kept = append(kept, h)
+		case h.overdue+1 < overdueLooks:
+			h.overdue++
+			kept = append(kept, h)
 		default:
 			select {
 			case unread := <-h.answer:
@@ -82,7 +90,10 @@
 		}
 		for a := call.flying; a != nil; {
 			next := a.next
-			if now > a.Until()+overdueBy && a.told.CompareAndSwap(false, true) {
+			if now > a.Until()+overdueBy {
+				a.overdue++
+			}
+			if a.overdue >= overdueLooks && a.told.CompareAndSwap(false, true) {
 				c.faults.Overdue.Add(1)
 				c.end(a, Outcome{Result: logic.TimedOut, Report: logic.NoReport})
 			}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -284,7 +284,7 @@
 		c.given = c.given[1:]
 	}
 	if len(c.given) > 0 {
-		return c.given[0].at + takenIn + watchEvery
+		return max(c.given[0].at+takenIn, c.clock.Now()) + watchEvery
 	}
 	return forever
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -402,7 +402,7 @@
 	if whole && !l.Full {
 		return errors.New("discovery answered a call for the whole list with changes")
 	}
-	if l.Version < d.version && !l.Full {
+	if l.Version < d.version && !whole {
 		before := d.version
 		d.version = -1 // it counts anew: only the whole list tells what holds
 		return fmt.Errorf("discovery went back from version %d to %d", before, l.Version)
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -173,7 +173,10 @@
 // appendHead appends the request as it goes on to a server: its line and headers, but for the time-out and the empty line.
 // net/http has checked that no part of them holds an end of a line.
 func appendHead(b []byte, r *http.Request, body *httpmsg.Body) []byte {
-	uri := r.URL.RequestURI()
+	uri := r.RequestURI // as it came: net/url would write some characters in another way
+	if !strings.HasPrefix(uri, "/") {
+		uri = r.URL.RequestURI()
+	}
 	b = slices.Grow(b, 256+len(uri))
 	b = append(append(b, r.Method...), ' ')
 	b = append(append(b, uri...), " HTTP/1.1\r\nHost: "...)
