Show three more: an answer behind a rejection, a request that never ran, an own lack blamed on servers

TestEndBeforeTheDeadline asked for a 502 where a request waits for a connection as its agent ends: nothing of it was ever written, so that a rejection (503) is the true answer; it asks for that now.

--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -192,3 +192,34 @@
 		t.Error("X-Attrs did not go on")
 	}
 }
+
+// What is answered on a connection some time after a rejection is answered whole: the limit for writing that one holds for it alone.
+func TestAnswerBehindARejection(t *testing.T) {
+	d := testkit.NewDiscovery(t, 1, testkit.EntryText("b", testkit.Refusing(t), "Ready", 0))
+	a := start(t, d, 0)
+	conn, err := net.Dial("tcp", a.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(testkit.Patience))
+	in := bufio.NewReader(conn)
+	ask := func(head string) int {
+		io.WriteString(conn, head+"\r\n")
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode
+	}
+	if got := ask("GET /form-check HTTP/1.1\r\nHost: o\r\nX-Request-ID: 1\r\nX-Tenant-Id: glasgow-airport\r\nX-Timeout: 2000m\r\n"); got != http.StatusServiceUnavailable {
+		t.Fatalf("status %d", got)
+	}
+	for range 2 { // the connection may rest for 2.1 s at a time, and the limit was 2 s
+		time.Sleep(1100 * time.Millisecond)
+		if got := ask("GET /ready HTTP/1.1\r\nHost: o\r\n"); got != http.StatusOK {
+			t.Errorf("status %d", got)
+		}
+	}
+}
--- a/internal/agent/stages_test.go
+++ b/internal/agent/stages_test.go
@@ -321,7 +321,7 @@
 	}{
 		"may have run":             {[]peer.Step{peer.Request(), peer.Silence()}, false, ask("POST", order, 0), false, http.StatusBadGateway, 1},
 		"may be repeated":          {[]peer.Step{peer.Request(), peer.Silence()}, false, ask("GET", basket, 0), false, http.StatusServiceUnavailable, 1},
-		"waits for a connection":   {fine(), true, ask("POST", order, 0), false, http.StatusBadGateway, 0}, // an attempt is out
+		"waits for a connection":   {fine(), true, ask("POST", order, 0), false, http.StatusServiceUnavailable, 0}, // it never ran
 		"an answer that flows":     {slow, false, ask("GET", basket, 0), false, http.StatusOK, 1},
 		"a long body half written": {[]peer.Step{peer.Silence()}, false, ask("POST", order, long) + strings.Repeat("x", long/2), true, http.StatusBadGateway, 0},
 	} {
--- a/internal/upstream/http/exchange_test.go
+++ b/internal/upstream/http/exchange_test.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -589,3 +590,21 @@
 		t.Errorf("%d connections closed as broken", n)
 	}
 }
+
+// A connect that fails for what the agent itself lacks says nothing of the server: the attempt was not sent, and no server is held to
+// be ill for it. One that the network or the server fails says so.
+func TestOwnLackIsNotTheServers(t *testing.T) {
+	for errno, want := range map[syscall.Errno]logic.Result{
+		syscall.EMFILE: logic.NotSent, syscall.ENFILE: logic.NotSent, syscall.ENOBUFS: logic.NotSent, syscall.ENOMEM: logic.NotSent,
+		syscall.EADDRNOTAVAIL: logic.NotSent, syscall.EAGAIN: logic.NotSent, syscall.EPERM: logic.NotSent,
+		syscall.ECONNREFUSED: logic.ConnectFailed, syscall.ETIMEDOUT: logic.ConnectFailed, syscall.EHOSTUNREACH: logic.ConnectFailed,
+		syscall.ENETUNREACH: logic.ConnectFailed, syscall.ECONNRESET: logic.ConnectFailed,
+	} {
+		f := fixtureWith(t, "127.0.0.1:1", 10, time.Second, func(context.Context, string, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
+		})
+		if out := f.make(f.attempt(time.Second)); out.Result != want {
+			t.Errorf("%v: %v, want %v", errno, out.Result, want)
+		}
+	}
+}
