Claim each attempt before its first byte, and blame no server for what the agent lacks

1. core.Attempt.Begin is one state change that the upstream and the core's end of a call compete for: an attempt that waits for a connection as its call ends never begins, and a call none of whose attempts has begun is rejected (503) in place of failed (502). 2. pool.Table.OpenFailed takes whether the agent itself lacked something (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EAGAIN, EPERM): the attempt was not sent, and neither the server's handshakes nor its health count it. 3. Peers name a server's instance by discovery's started_ms itself (core.Member.StartedMS), not by a sum of two clocks: since FromUnix goes by the present time of day the sum could be off by 1 ms, which TestPeersWordGoesBeforeTheOwnList noticed before any landing.

TestBorder's upstream that never reports begins its attempt now, as its contract asks; what it demands is unchanged. Tests of core, pool, front, upstream, discovery and the named ones of agent passed with -race.

--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -74,11 +74,7 @@
 
 // life is the life of a server that is listed, as all agents name it: each has a clock of its own.
 func (p *peers) life(m core.Member) fleetstate.Life {
-	l := fleetstate.Life{Server: m.ID}
-	if m.Started != 0 {
-		l.Started = p.clock.At(m.Started).UnixMilli()
-	}
-	return l
+	return fleetstate.Life{Server: m.ID, Started: m.StartedMS}
 }
 
 type heardPart struct {
--- a/internal/agent/peers_test.go
+++ b/internal/agent/peers_test.go
@@ -113,7 +113,7 @@
 
 // ready is a server that started at a time of day, in milliseconds.
 func (p *peers) ready(id string, started int64) core.Member {
-	return core.Member{Server: logic.Server{ID: id, State: logic.Ready, Started: p.clock.FromUnix(started)}, Addr: "127.0.0.1:1"}
+	return core.Member{Server: logic.Server{ID: id, State: logic.Ready, Started: p.clock.FromUnix(started)}, Addr: "127.0.0.1:1", StartedMS: started}
 }
 
 func states(l core.List) map[string]logic.State {
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -35,6 +35,7 @@
 	until   atomic.Int64
 	written atomic.Int64
 	told    atomic.Bool
+	claim   atomic.Int32 // who decided whether it begins: see Begin
 	core    *Core
 	tell    func(Outcome) // of one outside a core
 	next    *Attempt      // the one before it of the same call that is in flight
@@ -44,6 +45,17 @@
 // Until is when the agent stops waiting, on the core's clock.
 func (a *Attempt) Until() time.Duration { return time.Duration(a.until.Load()) }
 
+// The states of an attempt's claim. It leaves the first once, for good.
+const (
+	waiting   int32 = iota
+	begun           // its first byte may be written
+	withdrawn       // its call was over before that: it never begins
+)
+
+// Begin claims the attempt just before its first byte is written; false says that its call is over, and that nothing of it must be
+// written. Of a call that ends without an attempt that has begun, it is certain that none has run.
+func (a *Attempt) Begin() bool { return a.claim.CompareAndSwap(waiting, begun) }
+
 // Written says that a Partial call has gone on whole. Its time-out runs from then on.
 func (a *Attempt) Written(now time.Duration) {
 	a.written.Store(int64(now))
@@ -134,6 +146,23 @@
 	}
 }
 
+// withdraw lets no attempt begin any more.
+func (c *Call) withdraw() {
+	for a := c.flying; a != nil; a = a.next {
+		a.claim.CompareAndSwap(waiting, withdrawn)
+	}
+}
+
+// neverRan reports, of a call whose attempts were withdrawn, whether it is certain that none has run.
+func (c *Call) neverRan() bool {
+	for a := c.flying; a != nil; a = a.next {
+		if a.claim.Load() == begun {
+			return false
+		}
+	}
+	return c.ran == 0
+}
+
 // mayHaveRun is when the first attempt was sent that may have run, or may yet; 0 without one.
 func (c *Call) mayHaveRun() time.Duration {
 	first := c.ran
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -40,8 +40,9 @@
 // Gone is closed when nobody waits for the call's answer any more; nil of a call that was not handed over.
 func (c *Call) Gone() <-chan struct{} { return c.gone }
 
-// ends says that nobody waits for the answer any more. It is called once.
+// ends says that nobody waits for the answer any more, and lets no attempt begin. It is called once.
 func (c *Call) ends(now time.Duration) {
+	c.withdraw()
 	c.overSince.Store(int64(now))
 	c.over.Store(true)
 	close(c.gone)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -438,7 +438,7 @@
 		case logic.Refuse:
 			c.finish(c.calls[a.Request], Answer{Verdict: Refused, Reason: causeReasons[a.Cause], RetryAfter: a.After})
 		case logic.Fail:
-			c.finish(c.calls[a.Request], Answer{Verdict: Failed, Reason: causeReasons[a.Cause]})
+			c.finish(c.calls[a.Request], Answer{Verdict: Failed, Reason: causeReasons[a.Cause], RetryAfter: a.After})
 		case logic.SetTimer:
 			heap.Push(&c.timers, timer{due: c.clock.Now() + a.After, token: a.Token})
 		case logic.Subscribe:
@@ -496,6 +496,9 @@
 		return
 	}
 	call.ends(c.clock.Now())
+	if a.Verdict == Failed && call.neverRan() { // the module counts an attempt as out that waits for a connection
+		a.Verdict = Refused
+	}
 	c.give(call, a)
 	c.forget(call)
 }
--- a/internal/core/seam_test.go
+++ b/internal/core/seam_test.go
@@ -394,7 +394,7 @@
 			a.Report(core.Outcome{Result: logic.Reset, Report: logic.NoReport, Content: counted{&drops}})
 		}, core.Served, func(f *core.Faults) int64 { return f.Twice.Load() }},
 		"no outcome": {func(context.Context, *core.Attempt) {}, core.Failed, func(f *core.Faults) int64 { return f.Unreported.Load() }},
-		"none in time": {func(ctx context.Context, _ *core.Attempt) { <-ctx.Done() }, core.Failed,
+		"none in time": {func(ctx context.Context, a *core.Attempt) { a.Begin(); <-ctx.Done() }, core.Failed,
 			func(f *core.Faults) int64 { return f.Overdue.Load() }},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -131,7 +131,7 @@
 	wait    time.Duration // of the next watch
 	at      string        // the address that is followed
 	version int64
-	have    map[string]held
+	have    map[string]core.Member
 	heard   time.Duration // when discovery last answered; 0: not yet
 	badOnce bool
 	down    bool
@@ -140,12 +140,6 @@
 	subscribed bool
 }
 
-// held is what is held of a server.
-type held struct {
-	core.Member
-	startedMS int64
-}
-
 // New returns a client that asks nothing until it runs.
 func New(cfg Config) *Client {
 	if cfg.Dial == nil {
@@ -167,7 +161,7 @@
 		sink:      cfg.Sink,
 		log:       cfg.Log,
 		events:    cfg.Events,
-		have:      map[string]held{},
+		have:      map[string]core.Member{},
 		version:   -1,
 	}
 	if (cfg.Asked || cfg.Agents > usualFleet) && len(d.known.Servers) > 0 { // changes are all that is asked for
@@ -451,7 +445,7 @@
 // members decodes the entries. A malformed one is passed over, which must not look as if its backend had been
 // taken from the list: what was held of it stands.
 func (d *Client) members(l List) []core.Member {
-	all := make([]held, 0, len(l.Servers))
+	out := make([]core.Member, 0, len(l.Servers))
 	for _, raw := range l.Servers {
 		m, id, err := d.member(raw)
 		if err != nil {
@@ -460,18 +454,16 @@
 				d.log.Warn("passing over a malformed list entry; further ones are not logged", "entry", id, "error", err)
 			}
 			if old, ok := d.have[id]; ok {
-				all = append(all, old)
+				out = append(out, old)
 			}
 			continue
 		}
-		all = append(all, m)
+		out = append(out, m)
 	}
 	if l.Full {
 		clear(d.have)
 	}
-	out := make([]core.Member, 0, len(all))
-	for _, m := range all {
-		out = append(out, m.Member)
+	for _, m := range out {
 		d.have[m.ID] = m
 		if m.State == logic.Gone {
 			delete(d.have, m.ID)
@@ -481,7 +473,7 @@
 }
 
 // member decodes an entry. It returns the entry's id also with an error, as far as that could be read.
-func (d *Client) member(raw json.RawMessage) (m held, id string, err error) {
+func (d *Client) member(raw json.RawMessage) (m core.Member, id string, err error) {
 	var e entry
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return m, e.ID, err
@@ -494,7 +486,7 @@
 		return m, e.ID, err
 	}
 	server := logic.Server{ID: e.ID, State: state, Zone: slices.Index(d.zones, e.Zone), Cell: e.Cell, Weight: e.Weight, Started: d.started(e)}
-	return held{core.Member{Addr: e.Addr, Server: server}, e.StartedMS}, e.ID, nil
+	return core.Member{Addr: e.Addr, Server: server, StartedMS: e.StartedMS}, e.ID, nil
 }
 
 // lateListing is how long before it is listed a server may have started that is new in the list.
@@ -504,7 +496,7 @@
 // day. A new one is not in the future, and where discovery was heard not long before without it, not long before that: then the
 // time of day has been stepped in between.
 func (d *Client) started(e entry) time.Duration {
-	if old, known := d.have[e.ID]; known && old.startedMS == e.StartedMS {
+	if old, known := d.have[e.ID]; known && old.StartedMS == e.StartedMS {
 		return old.Started
 	}
 	if e.StartedMS == 0 {
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -277,7 +277,7 @@
 	h := w.Header()
 	h["Content-Type"] = nil // do not guess
 	h.Set("Content-Length", "0")
-	if a.RetryAfter > 0 {
+	if a.RetryAfter > 0 && a.Verdict == core.Refused {
 		h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
 	}
 	status, result := http.StatusBadGateway, metrics.Failed
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -414,7 +414,7 @@
 	f.run.handshakes++
 	server := f.serverOf(a, s.Node)
 	if server == nil || f.now >= server.cutFrom && f.now < server.cutTo {
-		f.at(f.now+100*time.Millisecond, func() { f.do(a, a.table.OpenFailed(f.now, s)) })
+		f.at(f.now+100*time.Millisecond, func() { f.do(a, a.table.OpenFailed(f.now, s, false)) })
 		return
 	}
 	if server.started > 0 && f.now-server.started < startLook {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -337,7 +338,7 @@
 	}
 	if err != nil {
 		p.cfg.Events.Record(event.Event{Kind: event.UpstreamClosed, Reason: event.ConnectFailed, Server: s.Node.ID, Detail: err.Error()})
-		p.carryOut(p.table.OpenFailed(p.cfg.Clock.Now(), s))
+		p.carryOut(p.table.OpenFailed(p.cfg.Clock.Now(), s, ownLack(err)))
 		return
 	}
 	opened := event.Event{Kind: event.UpstreamOpened, Server: s.Node.ID}
@@ -350,6 +351,14 @@
 	p.carryOut(p.table.Opened(p.cfg.Clock.Now(), s))
 }
 
+// ownLacks are the errors of socket(2) and connect(2) that come from this machine and not from the server or the way to it.
+var ownLacks = [...]error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EPERM}
+
+// ownLack reports whether a connect failed for what the agent itself lacks.
+func ownLack(err error) bool {
+	return slices.ContainsFunc(ownLacks[:], func(lack error) bool { return errors.Is(err, lack) })
+}
+
 // quiet reports whether an idle connection is open and nothing has come on it. A server that died or closed it shows here,
 // before a request is risked on it.
 func (c *Conn) quiet() bool {
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -283,19 +283,24 @@
 	return t.actions
 }
 
-// OpenFailed says that a handshake failed. Who has waited for longest is told so: it was the one that asked for it.
-func (t *Table) OpenFailed(now time.Duration, s *Slot) []Action {
+// OpenFailed says that a handshake failed, or could not be begun for what the agent itself lacks, which says nothing of the server.
+// Who has waited for longest is told so: it was the one that asked for it.
+func (t *Table) OpenFailed(now time.Duration, s *Slot, ownLack bool) []Action {
 	t.begin()
 	n := s.Node
 	t.opening--
 	n.opening--
-	n.dialFails++
+	why := NoRoom
+	if !ownLack {
+		why = NoConnect
+		n.dialFails++
+	}
 	t.leave(n)
 	t.counts.OpenFailed++
 	if !s.ahead && len(n.waiters) > 0 {
 		w := n.waiters[0]
 		t.unqueue(w)
-		t.act(Action{Kind: Refuse, Waiter: w, Why: NoConnect})
+		t.act(Action{Kind: Refuse, Waiter: w, Why: why})
 	}
 	t.fill(now)
 	return t.actions
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -173,7 +173,7 @@
 			"want": want, "want again": want, "opened": opened, "done": done, "done again": done,
 			"failed": func(t *rapid.T) {
 				if s, ok := take(t, &h.opening); ok {
-					h.do(h.table.OpenFailed(h.now, s))
+					h.do(h.table.OpenFailed(h.now, s, false))
 				}
 			},
 			"cancel": func(t *rapid.T) {
@@ -426,7 +426,7 @@
 		t.Error("another server gets nothing meanwhile")
 	}
 	refused := 0
-	for _, a := range b.OpenFailed(b.now, opens[0].Slot) {
+	for _, a := range b.OpenFailed(b.now, opens[0].Slot, false) {
 		if a.Kind == Refuse && a.Why == NoConnect {
 			refused++
 		}
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -48,7 +48,7 @@
 		out.Result = logic.ConnectFailed
 		a.Report(out)
 		return
-	case !u.stillWanted(a, node):
+	case !u.stillWanted(a, node) || !a.Begin():
 		u.Pool.Put(c, pool.Unused)
 		a.Report(out)
 		return
