--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -11,6 +11,7 @@
 	"net/http/httputil"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -239,12 +240,16 @@
 	pipe := flow.NewPipe(x.Budget, int(want))
 	x.out.Result = logic.OK
 	x.out.Content = &httpmsg.Content{Pipe: pipe, Length: length, Kind: resp.Header.Get("Content-Type")}
+	var flowing whileOpen // it must not begin once the exchange is over: by then the connection may be another's
 	begin := func() {
-		if x.told.CompareAndSwap(false, true) {
-			x.conn.SetReadDeadline(time.Now().Add(flowStall)) // also of a read that waits now
-			x.attempt.Report(x.out)
-		}
+		flowing.do(func() {
+			if x.told.CompareAndSwap(false, true) {
+				x.conn.SetReadDeadline(time.Now().Add(flowStall)) // also of a read that waits now
+				x.attempt.Report(x.out)
+			}
+		})
 	}
+	defer flowing.end()
 	if length < 0 || length > int64(pipe.Size()) { // else nobody waits for room in it
 		stop := context.AfterFunc(ctx, pipe.Close) // at the end nobody reads it any more
 		defer stop()
@@ -267,6 +272,27 @@
 	return left(resp, err)
 }
 
+// whileOpen lets something happen while an exchange lasts.
+type whileOpen struct {
+	mu   sync.Mutex
+	over bool
+}
+
+func (b *whileOpen) do(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.over {
+		f()
+	}
+}
+
+// end returns once nothing happens any more.
+func (b *whileOpen) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.over = true
+}
+
 // errSpoilt is an answer that can't be what a backend made for the request. The request may have run.
 var errSpoilt = errors.New("spoilt answer")
 
--- a/internal/upstream/http/exchange_test.go
+++ b/internal/upstream/http/exchange_test.go
@@ -608,3 +608,29 @@
 		}
 	}
 }
+
+// An answer in chunks that is whole just as it would begin to flow leaves its connection as it is: what ends late must not set a
+// limit for the next request on it.
+func TestFlowBeginsAsTheAnswerEnds(t *testing.T) {
+	t.Parallel()
+	for range 5 {
+		b := testkit.NewBackend(t, func(c net.Conn, _ *http.Request, n int) bool {
+			if n > 1 {
+				return true // no answer: the attempt ends by its own time
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n")
+			time.Sleep(flowAfter - 300*time.Microsecond)
+			io.WriteString(c, "0\r\n\r\n")
+			return true
+		})
+		f := newFixture(t, b.Addr().String(), 10)
+		first := f.make(f.attempt(time.Second))
+		if first.text(t) != "fine" {
+			t.Fatalf("%+v", first.Outcome)
+		}
+		began := time.Now()
+		if out := f.make(f.attempt(300 * time.Millisecond)); out.Result != logic.TimedOut || time.Since(began) > 2*time.Second {
+			t.Errorf("%v after %v", out.Result, time.Since(began))
+		}
+	}
+}
