--- a/internal/agent/streaming_test.go
+++ b/internal/agent/streaming_test.go
@@ -382,3 +382,71 @@
 		t.Errorf("it ends with %v", err)
 	}
 }
+
+// A server breaks off behind the head of an answer, before any of its body: nothing has been passed on by then, so that the client
+// is owed an answer still. What may be repeated is sent again, and what may not fails with one.
+func TestAnswerThatBreaksBehindItsHead(t *testing.T) {
+	for head, wait := range map[string]time.Duration{
+		"Content-Length: 100000\r\n":     0,
+		"Content-Length: 100001\r\n":     30 * time.Millisecond,
+		"Transfer-Encoding: chunked\r\n": 250 * time.Millisecond,
+	} {
+		t.Run(head, func(t *testing.T) {
+			t.Parallel()
+			breaks := func(c net.Conn, r *http.Request, n int) bool {
+				if r.Method == http.MethodGet && n > 1 {
+					return testkit.Says(testkit.ServedText)(c, r, n)
+				}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n")
+				time.Sleep(wait)
+				c.(*net.TCPConn).SetLinger(0)
+				return false
+			}
+			for _, class := range []struct {
+				method, path string
+				want         int
+			}{{http.MethodGet, "/form-check", http.StatusOK}, {http.MethodPost, "/pay", http.StatusBadGateway}} {
+				b := testkit.NewBackend(t, breaks)
+				d := testkit.NewDiscovery(t, 1, testkit.EntryText("b", b.Addr().String(), "Ready", 0))
+				a := start(t, d, 0)
+				if got := status(a.newRequest(t, class.method, class.path, "")); got != class.want {
+					t.Errorf("%s: status %d, want %d", class.method, got, class.want)
+				}
+			}
+		})
+	}
+}
+
+// An answer that flows and then stops is cut by the time that its client waits for, and not some seconds later: until then it may go
+// on, and the client can tell that it is not whole.
+func TestAnswerThatStopsIsCutInTime(t *testing.T) {
+	for head, body := range map[string]string{
+		"Content-Length: 100000\r\n":     "0123456789",
+		"Transfer-Encoding: chunked\r\n": "a\r\n0123456789\r\n",
+	} {
+		t.Run(head, func(t *testing.T) {
+			t.Parallel()
+			b := testkit.NewBackend(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+body)
+				time.Sleep(9 * time.Second)
+				return false
+			})
+			d := testkit.NewDiscovery(t, 1, testkit.EntryText("b", b.Addr().String(), "Ready", 0))
+			a := start(t, d, 0)
+			r := a.newRequest(t, http.MethodPost, "/pay", "")
+			r.Header.Set("X-Timeout", "900m")
+			began := time.Now()
+			client := http.Client{Transport: &http.Transport{}, Timeout: testkit.Patience}
+			defer client.CloseIdleConnections()
+			resp, err := client.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			got, err := io.ReadAll(resp.Body)
+			if took := time.Since(began); err == nil || string(got) != "0123456789" || took > 1400*time.Millisecond || took < 800*time.Millisecond {
+				t.Errorf("%q and %v after %v", got, err, took)
+			}
+		})
+	}
+}
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -55,11 +55,13 @@
 	EarlyAnswer  Mode = "early"        // an error comes before the request is whole
 	RefusesLong  Mode = "refuselong"   // 503 that says it was not processed, a while later
 	Unannounced  Mode = "crossingidle" // idle connections close after some milliseconds
+	HeadOfLong   Mode = "headoflong"   // the head of a long answer, and a reset before any of its body
+	HeadOfChunks Mode = "headofchunks" // the head of an answer in chunks, and a reset some time later
 )
 
 // backendModes are those that a plan draws from.
 var backendModes = []Mode{Hang, TurnAway, ServerError, ResetBefore, ResetWithin, Noise, NeverEnds, SecondAnswer, NoLength, Chunked,
-	LongAnswer, ClosesAfter, Sleepy, Interim, SplitAnswer, EarlyAnswer, RefusesLong, Unannounced}
+	LongAnswer, ClosesAfter, Sleepy, Interim, SplitAnswer, EarlyAnswer, RefusesLong, Unannounced, HeadOfLong, HeadOfChunks}
 
 // longAnswer is the size of a LongAnswer, in bytes.
 const longAnswer = 300 << 10
@@ -281,6 +283,14 @@
 	case Sleepy:
 		time.Sleep(min(b.between(a.Stated/2, a.Stated), 2*time.Second))
 		return say(plain)
+	case HeadOfLong:
+		say(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", longAnswer))
+		time.Sleep(b.between(0, 20*time.Millisecond))
+		return reset()
+	case HeadOfChunks:
+		say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		time.Sleep(b.between(50*time.Millisecond, 200*time.Millisecond))
+		return reset()
 	case Interim:
 		return say("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n", plain)
 	case SplitAnswer:
