Begin no answer before its first byte, and cut one that stops by its client's time

exchange.serve lets an answer flow once some of its body is there: one that breaks behind its head is an attempt that broke, which is sent again where its class allows. Server.pass writes the head with the first piece; if the pipe breaks before that, the client gets a 502 in place of an end. flow.Pipe.Fill tells of each piece.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -60,9 +60,9 @@
 // Size is how many bytes it can hold.
 func (p *Pipe) Size() int { return len(p.buf) }
 
-// Fill reads all of r into the pipe. When it first has to wait for room it calls full. The error says why all has not
-// come; the other side gets it behind what has.
-func (p *Pipe) Fill(r io.Reader, full func()) error {
+// Fill reads all of r into the pipe. When it first has to wait for room it calls full, and after each piece that has come added;
+// both may be nil. The error says why all has not come; the other side gets it behind what has.
+func (p *Pipe) Fill(r io.Reader, full, added func()) error {
 	for {
 		free, err := p.room(full)
 		if err != nil {
@@ -70,6 +70,9 @@
 		}
 		n, err := r.Read(free)
 		p.add(n, err)
+		if n > 0 && added != nil {
+			added()
+		}
 		if err == io.EOF {
 			return nil
 		}
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -30,7 +30,7 @@
 			p := NewPipe(budget, 100)
 			var filling sync.WaitGroup
 			filling.Go(func() {
-				if err := p.Fill(in(bytes.NewReader(want)), nil); err != nil {
+				if err := p.Fill(in(bytes.NewReader(want)), nil, nil); err != nil {
 					t.Error(err)
 				}
 			})
@@ -54,7 +54,7 @@
 		in := bytes.NewReader(noise(300))
 		p := NewPipe(NewBudget(1<<20), 100)
 		full, done := 0, make(chan error, 1)
-		go func() { done <- p.Fill(in, func() { full++ }) }()
+		go func() { done <- p.Fill(in, func() { full++ }, nil) }()
 		synctest.Wait()
 		if in.Len() != 200 || full != 1 {
 			t.Errorf("%d unread, said to be full %d times", in.Len(), full)
@@ -71,7 +71,7 @@
 
 func TestExactFitIsWhole(t *testing.T) {
 	p := NewPipe(NewBudget(1<<20), 100)
-	if err := p.Fill(iotest.DataErrReader(bytes.NewReader(noise(100))), func() { t.Error("waited") }); err != nil {
+	if err := p.Fill(iotest.DataErrReader(bytes.NewReader(noise(100))), func() { t.Error("waited") }, nil); err != nil {
 		t.Error(err)
 	}
 	if n, whole := p.Whole(); n != 100 || !whole {
@@ -83,7 +83,7 @@
 func TestBreakShows(t *testing.T) {
 	broke := errors.New("broke")
 	p := NewPipe(NewBudget(1<<20), 100)
-	if err := p.Fill(io.MultiReader(bytes.NewReader(noise(10)), iotest.ErrReader(broke)), nil); err != broke {
+	if err := p.Fill(io.MultiReader(bytes.NewReader(noise(10)), iotest.ErrReader(broke)), nil, nil); err != broke {
 		t.Error(err)
 	}
 	var got bytes.Buffer
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -322,9 +322,14 @@
 		h.Set("Connection", "close")
 		http.NewResponseController(w).EnableFullDuplex()
 	}
-	w.WriteHeader(http.StatusOK)
 	out := &outflow{ResponseWriter: w, control: http.NewResponseController(w), flush: !whole}
-	if _, err := from.Pipe.WriteTo(out); err != nil {
+	_, err := from.Pipe.WriteTo(out)
+	if err != nil && !out.begun && r.Context().Err() == nil { // nothing has been passed on: an answer is owed still
+		h.Del("Content-Length")
+		s.write(w, r, c, core.Answer{Verdict: core.Failed, Reason: event.BrokenAnswer})
+		return
+	}
+	if err != nil {
 		s.Metrics.Answered(c.Class, metrics.Failed)
 		s.Events.Record(event.Event{Kind: event.RequestAbandoned, Reason: event.BrokenAnswer, Request: c.ID,
 			Connection: connlimit.Number(r.Context()), Detail: err.Error()})
@@ -334,6 +339,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
+	out.begin()
 	s.Metrics.Answered(c.Class, metrics.Completed)
 	if early {
 		out.control.Flush()
@@ -346,12 +352,22 @@
 	http.ResponseWriter
 	control *http.ResponseController
 	flush   bool // each piece, as the next may take its time
+	begun   bool // the head has been written
+}
+
+// begin writes the head, once.
+func (o *outflow) begin() {
+	if !o.begun {
+		o.begun = true
+		o.WriteHeader(http.StatusOK)
+	}
 }
 
 func (o *outflow) Write(p []byte) (int, error) {
 	if err := o.control.SetWriteDeadline(time.Now().Add(clientStall)); err != nil {
 		return 0, err
 	}
+	o.begin()
 	n, err := o.ResponseWriter.Write(p)
 	if err == nil && o.flush {
 		err = o.control.Flush()
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -116,7 +116,7 @@
 		case cut != 0:
 			return x.Clock.At(time.Duration(cut))
 		case x.told.Load():
-			return latest.Add(flowStall)
+			return x.flowLimit(latest)
 		case latest.IsZero() || end.After(until):
 			return until
 		}
@@ -166,6 +166,19 @@
 	return how
 }
 
+// flowLimit is when an answer that flows is given up, if nothing more comes after the latest: later than one that is held, but not
+// past the time that its client waits for.
+func (x *exchange) flowLimit(latest time.Time) time.Time {
+	limit, until := latest.Add(flowStall), x.Clock.At(x.attempt.Until())
+	if soon := latest.Add(heldStall); until.Before(soon) {
+		until = soon
+	}
+	if until.Before(limit) {
+		return until
+	}
+	return limit
+}
+
 // recordWritten records that the request is out, and on which connection.
 func (x *exchange) recordWritten() {
 	written := event.Event{Kind: event.AttemptWritten, Request: x.attempt.Call.ID, Attempt: x.attempt.Number, Server: x.attempt.Server}
@@ -224,7 +237,7 @@
 }
 
 // serve takes in the body of an answer. A short one is checked to its end before any of it is passed on; one that says it
-// is long flows at once, and one that does not say flows as soon as there is much of it, or it takes time. One with no
+// is long flows with its first byte, and one that does not say flows as soon as there is much of it, or it takes time. One with no
 // length ends where the server closes the connection: a spoilt one stays open and a server that dies resets it, so that
 // neither looks like an end.
 func (x *exchange) serve(ctx context.Context, resp *http.Response) pool.How {
@@ -242,10 +255,25 @@
 	x.out.Content = &httpmsg.Content{Pipe: pipe, Length: length, Kind: resp.Header.Get("Content-Type")}
 	var flowing whileOpen // it must not begin once the exchange is over: by then the connection may be another's
 	begin := func() {
+		if x.told.CompareAndSwap(false, true) {
+			x.conn.SetReadDeadline(x.flowLimit(time.Now())) // also of a read that waits now
+			x.attempt.Report(x.out)
+		}
+	}
+	// An answer flows only once some of its body is there: one that breaks off behind its head has not begun for its client.
+	wanted := false
+	flow := func() {
+		flowing.do(func() {
+			wanted = true
+			if held, _ := pipe.Whole(); held > 0 {
+				begin()
+			}
+		})
+	}
+	added := func() {
 		flowing.do(func() {
-			if x.told.CompareAndSwap(false, true) {
-				x.conn.SetReadDeadline(time.Now().Add(flowStall)) // also of a read that waits now
-				x.attempt.Report(x.out)
+			if wanted {
+				begin()
 			}
 		})
 	}
@@ -255,12 +283,12 @@
 		defer stop()
 	}
 	if length > httpmsg.HeldBody {
-		begin()
+		flow()
 	} else if len(resp.TransferEncoding) > 0 {
-		timer := time.AfterFunc(flowAfter, begin)
+		timer := time.AfterFunc(flowAfter, flow)
 		defer timer.Stop()
 	}
-	err := pipe.Fill(io.LimitReader(resp.Body, httpmsg.MaxBody+1), begin)
+	err := pipe.Fill(io.LimitReader(resp.Body, httpmsg.MaxBody+1), flow, added)
 	if err != nil && x.told.CompareAndSwap(false, true) {
 		pipe.Close()
 		x.out.Result, x.out.Content = x.broken(fmt.Errorf("%w: %w", errSpoilt, err)), nil
