--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"testing"
+	"time"
 )
 
 func env(fd string) func(string) string {
@@ -71,3 +72,28 @@
 		}
 	}
 }
+
+// A socket that can't be had for a moment, or an address that the process before still holds, keeps no agent from starting: it is tried
+// again for a while. What never comes is an error that says why.
+func TestListensOnceItCan(t *testing.T) {
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := holder.Addr().String()
+	none := func(string) string { return "" }
+	time.AfterFunc(300*time.Millisecond, func() { holder.Close() })
+	l, _, err := Listen(none, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	began := time.Now()
+	if l, _, err := Listen(none, "127.0.0.1:no-port"); err == nil {
+		l.Close()
+		t.Error("it listens nowhere")
+	}
+	if took := time.Since(began); took > time.Second { // no system call has failed: there is nothing to wait for
+		t.Errorf("it took %v to say so", took)
+	}
+}
