Try a listening socket again as the agent starts, and play two short soaks in the tests

handover.ListenPatiently makes a failing socket, bind or listen again every 50 ms for 5 s, for clients and operators; an address that can't be read fails at once.

--- a/cmd/ryeweir/agent.go
+++ b/cmd/ryeweir/agent.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -122,7 +121,7 @@
 		return err
 	}
 	if cfg.Control != "" {
-		if sockets.Control, err = net.Listen("tcp", cfg.Control); err != nil {
+		if sockets.Control, err = handover.ListenPatiently(cfg.Control); err != nil {
 			return fmt.Errorf("listening for operators: %w", err)
 		}
 	}
--- a/cmd/ryeweir/soak_test.go
+++ b/cmd/ryeweir/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -54,3 +55,28 @@
 	}
 	return r
 }
+
+// Two short plays of overlapping faults: no rule is broken, and the agents' own counts of violated invariants are 0. Longer ones with
+// other seeds are played by ryeweir soak. A play that is not in order leaves its account in the test's log.
+func TestSoakHolds(t *testing.T) {
+	t.Setenv("RYEWEIR_AS_PROGRAM", "1")
+	t.Run("each", func(t *testing.T) {
+		for _, seed := range []uint64{7, 12} {
+			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+				t.Parallel()
+				plan := soak.Draw(seed, 13*time.Second, nil)
+				r := playSoak(t, plan)
+				t.Logf("%d processes, %d requests, %d served, latest by %v", r.Processes, r.Requests, r.Served, r.Lag)
+				if r.Served < r.Requests/3 {
+					t.Errorf("of %d requests %d were served", r.Requests, r.Served)
+				}
+				if len(r.Violations) > 0 {
+					t.Log(plan.Describe())
+				}
+				for _, v := range r.Violations[:min(len(r.Violations), 10)] {
+					t.Error(v)
+				}
+			})
+		}
+	})
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -3,10 +3,13 @@
 package handover
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"strconv"
+	"syscall"
+	"time"
 )
 
 // Inherits reports whether the environment names a socket that the platform holds. Then another process with the same
@@ -17,8 +20,7 @@
 // socket stays open elsewhere, so that connections which this process does not accept are accepted by another.
 func Listen(getenv func(string) string, addr string) (l net.Listener, inherited bool, err error) {
 	if !Inherits(getenv) {
-		l, err = net.Listen("tcp", addr)
-		if err != nil {
+		if l, err = ListenPatiently(addr); err != nil {
 			return nil, false, fmt.Errorf("listening for clients: %w", err)
 		}
 		return l, false, nil
@@ -35,3 +37,23 @@
 	}
 	return l, true, nil
 }
+
+// How long a socket that can't be had is tried again, and how often.
+const (
+	listenFor   = 5 * time.Second
+	listenEvery = 50 * time.Millisecond
+)
+
+// ListenPatiently binds an address. A system call that fails, as for lack of descriptors or memory or while another process still
+// holds the address, is made again for some seconds.
+func ListenPatiently(addr string) (net.Listener, error) {
+	for end := time.Now().Add(listenFor); ; time.Sleep(listenEvery) {
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			return l, nil
+		}
+		if _, failed := errors.AsType[syscall.Errno](err); !failed || time.Now().After(end) {
+			return nil, err
+		}
+	}
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -54,7 +54,7 @@
 // result checks what was noted.
 func (p *play) result() Result {
 	a := &account{play: p, attempts: map[string][]Attempt{}, server: map[string]int{}}
-	a.slack = 60*time.Millisecond + time.Duration(p.lag.Load())
+	a.slack = 60*time.Millisecond + 3*time.Duration(p.lag.Load()) // where this process is late, the others are
 	r := Result{Plan: p.plan, Lag: time.Duration(p.lag.Load())}
 	for i, s := range p.servers {
 		s.mu.Lock()
