Bound how old a server new in the list may be by when discovery was last heard

Ruled out: the share of the draw, capacities from few answers (22, 10 and 7 ms), trials. Change: 2 s in place of 10. Test: TestStartsThroughAStepOfTheClock, own clock ahead.

--- a/cmd/ryeweir/soak.go
+++ b/cmd/ryeweir/soak.go
@@ -135,9 +135,13 @@
 	var seed uint64
 	var host string
 	var plant []string
+	var clock time.Duration
 	cmd := &cobra.Command{Use: "soak-agent", Hidden: true, Args: cobra.NoArgs, Short: "An agent of a soak",
 		RunE: func(c *cobra.Command, _ []string) error {
 			machine := faultshim.New(seed)
+			if err := machine.Do("clock " + clock.String()); err != nil {
+				return usage(err)
+			}
 			for _, fault := range plant {
 				if err := machine.Do("plant " + fault); err != nil {
 					return usage(err)
@@ -153,6 +157,7 @@
 		}}
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "of planted faults")
 	cmd.Flags().StringVar(&host, "discovery-host", "", "the host of discovery")
+	cmd.Flags().DurationVar(&clock, "clock", 0, "how far the time of day is off as it starts")
 	cmd.Flags().StringArrayVar(&plant, "plant", nil, "a planted fault and its probability")
 	return cmd
 }
--- a/internal/discovery/clock_test.go
+++ b/internal/discovery/clock_test.go
@@ -44,6 +44,20 @@
 			}
 		})
 	}
+	// An agent's own clock is an hour ahead of discovery's: a server that is new in the list is as young as the time since discovery
+	// was last heard without it, and no hour old.
+	t.Run("own clock ahead", func(t *testing.T) {
+		clock := core.NewClockWith(func() time.Time { return time.Now().Add(time.Hour) })
+		f := testkit.NewDiscovery(t, 1, testkit.EntryText("s-1", "127.0.0.1:1", "Ready", 0))
+		events := make(sink, 100)
+		d := New(Config{Addr: f.Addr().String(), Agents: 1, Seed: 1, Clock: clock, Sink: events, Log: discard()})
+		follow(t, d)
+		next(t, events)
+		f.Set(2, false, testkit.EntryText("s-2", "127.0.0.1:2", "Ready", time.Now().UnixMilli()))
+		if age := clock.Now() - next(t, events).Members[0].Started; age > lateListing+toldAfter/2 {
+			t.Errorf("it is %v old", age)
+		}
+	})
 	// One that is in the future, by a clock that is ahead, counts as now: it is in slow start no longer than any other.
 	t.Run("in the future", func(t *testing.T) {
 		clock := core.NewClock()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -489,8 +489,9 @@
 	return core.Member{Addr: e.Addr, Server: server, StartedMS: e.StartedMS}, e.ID, nil
 }
 
-// lateListing is how long before it is listed a server may have started that is new in the list.
-const lateListing = 10 * time.Second
+// lateListing is how long before discovery was last heard without it a server may have started that is new in the list. Where a
+// discovery is slower than that, the server is in slow start for a little longer.
+const lateListing = 2 * time.Second
 
 // started is when a server started, on the agent's clock. What was once said of a start stands, whatever becomes of the time of
 // day. A new one is not in the future, and where discovery was heard not long before without it, not long before that: then the
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -165,7 +165,7 @@
 			return err
 		}
 		p.agents = append(p.agents, a)
-		if err := a.start(p.opts.Program, p.seed(), p.plants()...); err != nil {
+		if err := a.start(p.opts.Program, p.seed(), p.agentArgs()...); err != nil {
 			return err
 		}
 		p.callers = append(p.callers, &callers{agent: a, plan: p.plan, rate: p.plan.Rate, classes: p.plan.Classes, rng: rand.New(rand.NewPCG(p.plan.Seed, uint64(100+i)))})
@@ -178,7 +178,12 @@
 	return nil
 }
 
-func (p *play) plants() (args []string) {
+// agentArgs are what a process of an agent is told beside its configuration: the time of day that all machines have, and the
+// faults that are planted.
+func (p *play) agentArgs() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	args := []string{"--clock", p.wallStep.String()}
 	for _, plant := range p.opts.Plant {
 		args = append(args, "--plant", plant)
 	}
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -79,7 +79,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if err := a.start(p.opts.Program, p.seed(), p.plants()...); err != nil {
+	if err := a.start(p.opts.Program, p.seed(), p.agentArgs()...); err != nil {
 		p.problem("start", "agent %d: %v", a.number, err)
 		return
 	}
