--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,44 +74,6 @@
 
 const eventQueue = 1024
 
-// message is something that the loop is told: one of the types below.
-type message interface{}
-
-type (
-	// arrived brings a new call.
-	arrived struct{ call *Call }
-	// received says that all of a Partial call has come.
-	received struct {
-		call *Call
-		at   time.Duration
-	}
-	// left says that nobody waits for the answer any more.
-	left struct{ call *Call }
-	// ended is the outcome of an attempt.
-	ended struct {
-		attempt *Attempt
-		outcome Outcome
-	}
-	// probed is the result of a probe.
-	probed struct{ logic.Probed }
-	// pressed says whether the agent itself has more to do than it can.
-	pressed struct{ over bool }
-	// exchanged brings what peers tell of the fleet's level, and wants this agent's part of it.
-	exchanged struct {
-		parts []budget.Part
-		peers int
-		own   chan<- budget.Part
-	}
-	// hearsay brings what other agents see of a server.
-	hearsay struct{ logic.Hearsay }
-	// asked wants to know what has been learnt.
-	asked struct{ knowledge chan<- logic.Knowledge }
-	// finishing says that the process is about to end.
-	finishing struct{}
-	// unavailable says that a subscription to the list ended or could not be had.
-	unavailable struct{}
-)
-
 // New returns a Core that does nothing until it runs.
 func New(cfg Config) *Core {
 	if cfg.Subscribe == nil {
@@ -522,24 +484,3 @@
 		heap.Push(&c.timers, timer{due: c.clock.Now() + watchEvery, own: true})
 	}
 }
-
-// timer is a timer of the module, or the core's own.
-type timer struct {
-	due   time.Duration
-	token uint64
-	own   bool
-}
-
-// timers is a heap by the time that they are due.
-type timers []timer
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].due < t[j].due }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
-	last := len(*t) - 1
-	x := (*t)[last]
-	*t = (*t)[:last]
-	return x
-}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -230,25 +229,6 @@
 	return t.waiting == 0 && (n != nil && len(n.idle) > 0 || 10*(t.open+t.opening) < 9*t.set.Most)
 }
 
-// refused is a waiter that has its answer.
-func (t *Table) refused(why Why) *Waiter {
-	w := &Waiter{Answer: make(chan Action, 1)}
-	t.act(Action{Kind: Refuse, Waiter: w, Why: why})
-	return w
-}
-
-// Cancel takes back a waiter that has no answer so far. It says why there was none in time: the server's handshakes take too
-// long, or there was no place.
-func (t *Table) Cancel(now time.Duration, w *Waiter) Why {
-	t.begin()
-	t.unqueue(w)
-	t.counts.WaitedOut++
-	if w.node.opening > 0 || w.node.dialFails > 0 {
-		return NoConnect
-	}
-	return NoRoom
-}
-
 // Stale says that a slot which was just handed out is of no use: it was closed, or has something to read.
 func (t *Table) Stale(now time.Duration, s *Slot) []Action {
 	t.begin()
@@ -433,19 +413,6 @@
 	return false // the walk begins at the newest
 }
 
-// expired reports whether an idle slot is not to be used again.
-func (t *Table) expired(now time.Duration, s *Slot) (Why, bool) {
-	switch {
-	case s.proven < s.Node.suspect && t.set.SuspectClose:
-		return WhySuspect, true
-	case now-s.came >= t.limit(now, s.Node):
-		return WhyIdle, true
-	case s.ends > 0 && now >= s.ends, t.set.MaxUses > 0 && s.uses >= t.set.MaxUses:
-		return WhyAge, true
-	}
-	return 0, false
-}
-
 func (t *Table) hand(now time.Duration, s *Slot) {
 	t.take(s)
 	s.inUse = true
@@ -508,76 +475,6 @@
 	t.give(now, s)
 }
 
-// young reports whether a slot has had an answer just now: behind that more may come that belongs to no request, and would pass
-// for the answer of the next one. After a rest such a slot is found out before it is used.
-func (t *Table) young(now time.Duration, s *Slot) bool {
-	return s.answered > 0 && now-s.answered < t.set.Rest
-}
-
-// rest lets young slots rest for those who wait, a slot each: that is sooner over than a handshake, and costs the server nothing.
-func (t *Table) rest(now time.Duration, n *Node) {
-	for _, s := range n.idle {
-		if n.resting < len(n.waiters) && !s.resting && t.young(now, s) {
-			s.resting = true
-			n.resting++
-			t.act(Action{Kind: Rest, Slot: s, After: s.answered + t.set.Rest - now})
-		}
-	}
-}
-
-// rises ends a slot's rest.
-func (t *Table) rises(s *Slot) {
-	if s.resting {
-		s.resting = false
-		s.Node.resting--
-	}
-}
-
-// give hands an idle slot to the first of those who wait that may have it.
-func (t *Table) give(now time.Duration, s *Slot) {
-	n := s.Node
-	for i, w := range n.waiters {
-		if w.careful && s.proven < n.suspect {
-			continue
-		}
-		n.waiters = slices.Delete(n.waiters, i, i+1)
-		t.waiting--
-		t.hand(now, s)
-		t.act(Action{Kind: Hand, Waiter: w, Slot: s})
-		return
-	}
-}
-
-// starving reports whether all places are taken and another server has fewer than this one, and somebody who has waited for
-// longer: then this one gives a place up. The last places go round in turn.
-func (t *Table) starving(n *Node) bool {
-	if t.open+t.opening < t.set.Most || t.idle > 0 {
-		return false
-	}
-	for _, o := range t.nodes {
-		if o != n && len(o.waiters) > o.opening && o.places+1 < n.places && o.waiters[0].turn < n.waiters[0].turn {
-			return true
-		}
-	}
-	return false
-}
-
-// unqueue takes a waiter out of the queue.
-func (t *Table) unqueue(w *Waiter) {
-	if i := slices.Index(w.node.waiters, w); i >= 0 {
-		w.node.waiters = slices.Delete(w.node.waiters, i, i+1)
-		t.waiting--
-	}
-}
-
-func (t *Table) refuseAll(n *Node, why Why) {
-	t.waiting -= len(n.waiters)
-	for _, w := range n.waiters {
-		t.act(Action{Kind: Refuse, Waiter: w, Why: why})
-	}
-	n.waiters = nil
-}
-
 // close closes a slot that is open.
 func (t *Table) close(s *Slot, why Why) {
 	t.take(s)
@@ -615,131 +512,3 @@
 		t.close(n.idle[len(n.idle)-1], why)
 	}
 }
-
-// room reports whether a handshake with the server may begin now, if need be in the place of an idle connection of another.
-func (t *Table) room(n *Node) bool {
-	return n.ready && n.places < t.set.PerNode && n.opening < t.openingMost(n) && t.opening < t.set.Opening &&
-		(t.open+t.opening < t.set.Most || t.idle > 0)
-}
-
-// openingMost is how many handshakes a server may have at once: one whose latest failed gets few.
-func (t *Table) openingMost(n *Node) int {
-	if n.dialFails > 0 {
-		return max(1, t.set.OpeningPerNode/4)
-	}
-	return t.set.OpeningPerNode
-}
-
-// fill begins handshakes for those who wait and have none under way: for the server with the fewest places first, and of
-// equals for who has waited for longest.
-func (t *Table) fill(now time.Duration) {
-	for t.waiting > 0 {
-		var best *Node
-		for _, n := range t.nodes {
-			if len(n.waiters) <= n.opening+n.resting || !t.room(n) {
-				continue
-			}
-			if best == nil || n.places < best.places || n.places == best.places && n.waiters[0].turn < best.waiters[0].turn {
-				best = n
-			}
-		}
-		if best == nil {
-			return
-		}
-		t.start(now, best, false)
-	}
-}
-
-// start begins a handshake. Where all places are taken the connection closes that has stood idle for longest.
-func (t *Table) start(now time.Duration, n *Node, ahead bool) {
-	if t.open+t.opening >= t.set.Most {
-		var oldest *Slot
-		for _, o := range t.nodes {
-			if len(o.idle) > 0 && (oldest == nil || o.idle[0].came < oldest.came || o.idle[0].came == oldest.came && o.ID < oldest.Node.ID) {
-				oldest = o.idle[0]
-			}
-		}
-		t.close(oldest, WhyRoom)
-	}
-	n.places++
-	n.opening++
-	t.opening++
-	t.act(Action{Kind: Open, Slot: &Slot{Node: n, opened: now, ahead: ahead}})
-}
-
-// idleFull is the idle limit as the settings have it.
-func (t *Table) idleFull() time.Duration { return time.Duration(t.set.IdlePart * float64(t.set.Idle)) }
-
-// limit is how long a connection may stand idle and be used again.
-func (t *Table) limit(now time.Duration, n *Node) time.Duration {
-	full := t.idleFull()
-	if n.idleLimit >= full {
-		return full
-	}
-	// Compared before it is a time: after some minutes it would be one that no time can hold.
-	healed := float64(n.idleLimit) * math.Exp2(float64(now-n.learnt)/float64(t.set.IdleHeal))
-	if healed >= float64(full) {
-		return full
-	}
-	return time.Duration(healed)
-}
-
-// sure is how long it may have stood for what must not repeat. While nothing speaks against the limit of the settings, that
-// is as long as for anything else.
-func (t *Table) sure(now time.Duration, n *Node) time.Duration {
-	limit := t.limit(now, n)
-	if limit == t.idleFull() {
-		return limit
-	}
-	return time.Duration(t.set.SurePart * float64(limit))
-}
-
-// outlived takes in that a connection stood idle for so long and was open still.
-func (n *Node) outlived(now, stood, keep time.Duration) {
-	if stood >= n.survived || now-n.survivor > keep {
-		n.survived, n.survivor = stood, now
-	}
-}
-
-// mostEvidence bounds what is remembered of a server's closes, so that one that changes its ways is noticed.
-const mostEvidence = 8
-
-// learn takes in that a server closed a connection that had stood idle for so long at the most: it was found closed, or a
-// request crossed the close. Where another has outlived that, the server has no such limit: it closed for a reason of its own.
-func (t *Table) learn(now time.Duration, n *Node, stood time.Duration) {
-	if n.survived > stood && now-n.survivor <= t.set.IdleHeal {
-		n.limited = max(n.limited-1, -mostEvidence)
-		return
-	}
-	if n.limited = min(n.limited+1, mostEvidence); n.limited <= 0 {
-		return
-	}
-	lower := max(t.set.IdleLeast, time.Duration(t.set.IdlePart*float64(stood)))
-	if lower < t.limit(now, n) {
-		n.idleLimit, n.learnt = lower, now
-	}
-}
-
-// failed counts a broken exchange. An answer between two shows a server that is slow or spoils answers: its connections are
-// well, and closing them would give it more to do.
-func (t *Table) failed(now time.Duration, n *Node) {
-	if t.set.SuspectFailures == 0 {
-		return
-	}
-	n.failures = slices.DeleteFunc(append(n.failures, now), func(at time.Duration) bool { return now-at > t.set.SuspectWithin })
-	if len(n.failures) >= t.set.SuspectFailures {
-		n.failures = n.failures[:0]
-		t.suspectAll(now, n)
-	}
-}
-
-// suspectAll makes all of a server's connections suspect that are not proven after now.
-func (t *Table) suspectAll(now time.Duration, n *Node) {
-	if t.set.SuspectFailures == 0 {
-		return
-	}
-	n.suspect = now
-	if t.set.SuspectClose {
-		t.closeIdle(n, WhySuspect)
-	}
-}
