--- a/internal/connlimit/crossing_test.go
+++ b/internal/connlimit/crossing_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -93,3 +94,48 @@
 		t.Errorf("%q", body)
 	}
 }
+
+// lateAccept is a listener that has a connection in hand as it is closed: it gives it after that.
+type lateAccept struct {
+	net.Listener
+	inHand, goOn chan struct{}
+}
+
+func (l *lateAccept) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil && l.inHand != nil {
+		close(l.inHand)
+		<-l.goOn
+		l.inHand = nil
+	}
+	return c, err
+}
+
+// A connection that has been accepted in the instant in which the listener closes is served: its request may have been sent.
+func TestAcceptedAsItCloses(t *testing.T) {
+	late := &lateAccept{Listener: listen(t), inHand: make(chan struct{}), goOn: make(chan struct{})}
+	inHand := late.inHand
+	l := New(late, 2)
+	l.Head = time.Minute
+	srv := &http.Server{ConnState: State, ConnContext: Context, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Hold(r.Context(), "r")
+		w.Header().Set("Connection", "close")
+		io.WriteString(w, "answer")
+	})}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(l) }()
+	t.Cleanup(func() { l.Abort(); srv.Close() })
+	c := dial(t, l)
+	io.WriteString(c, ask("/a"))
+	<-inHand
+	l.Close()
+	close(late.goOn)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, _ := io.ReadAll(resp.Body); string(body) != "answer" {
+		t.Errorf("%q", body)
+	}
+	<-done
+}
