Serve what is accepted as the listener closes, and what waits to be accepted before

connlimit.Listener.Accept turns a connection away at its close only where there is no room. A drain waits, at the end of the time for new connections, until none has come for 20 ms (0.2 s at the most).

--- a/internal/agent/accept_test.go
+++ b/internal/agent/accept_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -101,3 +102,39 @@
 	testkit.Eventually(t, "the agent is ready", func() bool { return a.status(t, "/ready") == http.StatusOK })
 	return a
 }
+
+// stalled is a listener that accepts nothing while it stalls, as in a process that was paused: what comes waits in the system's queue.
+type stalled struct {
+	net.Listener
+	goOn atomic.Pointer[chan struct{}]
+}
+
+func (s *stalled) Accept() (net.Conn, error) {
+	if goOn := s.goOn.Load(); goOn != nil {
+		<-*goOn
+	}
+	return s.Listener.Accept()
+}
+
+// A connection that waits to be accepted as the time for new ones is over is accepted still, and its request answered: the close of
+// the listener would reset it.
+func TestWhatWaitsToBeAcceptedIsServed(t *testing.T) {
+	b := testkit.NewBackend(t, testkit.Says(testkit.ServedText))
+	d := testkit.NewDiscovery(t, 1, testkit.EntryText("b", b.Addr().String(), "Ready", 0))
+	l := &stalled{Listener: testkit.Listen(t)}
+	a := runOn(t, d, l)
+	goOn := make(chan struct{})
+	l.goOn.Store(&goOn)
+	a.status(t, "/ready") // the accept that was under way
+	answer := make(chan int, 1)
+	go func() { answer <- status(a.newRequest(t, http.MethodGet, "/form-check", "")) }()
+	time.Sleep(50 * time.Millisecond) // it waits in the queue
+	a.stop()                          // with no time for new connections
+	time.AfterFunc(acceptLate, func() { close(goOn) })
+	if got := <-answer; got != http.StatusOK {
+		t.Errorf("status %d", got)
+	}
+}
+
+// acceptLate is how late the listener goes on: later than the signal, and well within what a drain leaves it.
+const acceptLate = 8 * time.Millisecond
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -35,6 +35,7 @@
 	mu      sync.Mutex
 	room    *sync.Cond
 	closed  bool
+	latest  time.Time // when the latest connection was accepted
 	open    map[*Conn]struct{}
 	lingers sync.WaitGroup
 }
@@ -93,6 +94,7 @@
 	}
 	c := &Conn{Conn: raw, table: t, since: time.Now(), number: t.Events.NextConnection()}
 	t.open[c] = struct{}{}
+	t.latest = c.since
 	accepted := event.Event{Kind: event.ConnectionAccepted, Connection: c.number}
 	if t.Events.Verbose() {
 		accepted.Detail = raw.RemoteAddr().String()
@@ -112,7 +114,7 @@
 	return float64(len(t.open)) > crowdedPart*float64(t.most)
 }
 
-// makeRoom waits for a free place, and has one freed; false says that the listener has closed.
+// makeRoom waits for a free place, and has one freed; false says that the listener has closed before there was one.
 func (t *Listener) makeRoom() bool {
 	for len(t.open) >= t.most && !t.closed {
 		if c := t.leastUseful(); c != nil {
@@ -121,7 +123,7 @@
 		}
 		t.room.Wait()
 	}
-	return !t.closed
+	return len(t.open) < t.most
 }
 
 // startTime is what a connection has for its first bytes, and between them, before it counts as one that brings none.
@@ -161,6 +163,13 @@
 	return len(t.open)
 }
 
+// AcceptedSince reports whether a connection has been accepted since then.
+func (t *Listener) AcceptedSince(then time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.latest.After(then)
+}
+
 // CloseIdle retires the connections that have had no request open for so long.
 func (t *Listener) CloseIdle(idle time.Duration) {
 	t.mu.Lock()
--- a/internal/front/http/serve.go
+++ b/internal/front/http/serve.go
@@ -79,6 +79,7 @@
 	s.Events.Record(event.Event{Kind: event.PhaseChanged, Reason: event.Draining, Detail: "the signal to end has come"})
 	if !inherited { // else the process that follows accepts, and what this one took from it would come late
 		sleep(limited, s.AcceptFor)
+		acceptRest(limited, clients)
 	}
 	clients.Close()
 	<-failed
@@ -96,6 +97,24 @@
 	clients.Abort()
 }
 
+// Bounds of what is accepted before a listener closes.
+const (
+	acceptQuiet = 20 * time.Millisecond // without a connection nobody waits to be accepted
+	acceptRests = 10                    // such times at the most
+)
+
+// acceptRest lets connections that wait be accepted, as after a pause of the process: the listener's close would reset them, with
+// what their clients have sent.
+func acceptRest(ctx context.Context, clients *connlimit.Listener) {
+	for range acceptRests {
+		began := time.Now()
+		sleep(ctx, acceptQuiet)
+		if !clients.AcceptedSince(began) {
+			return
+		}
+	}
+}
+
 // sweep closes clients' idle connections in a drain, an operator's or the last one.
 func (s *Server) sweep(ctx context.Context, clients *connlimit.Listener) {
 	for {
