--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -83,7 +83,14 @@
 		p.problem("start", "agent %d: %v", a.number, err)
 		return
 	}
-	if err := a.awaitReady(ctx, readyWithin); err != nil && ctx.Err() == nil {
+	a.mu.Lock()
+	life := a.life()
+	a.mu.Unlock()
+	err := a.awaitReady(ctx, readyWithin)
+	a.mu.Lock()
+	told := life.killed > 0 || life.term > 0 // another trouble ended it as it started
+	a.mu.Unlock()
+	if err != nil && ctx.Err() == nil && !told {
 		p.problem("start", "%v", err)
 	}
 }
