Wait for the first byte of an answer that is to flow for as long as its client waits

TestAnswerThatComesBehindItsHead (0.9 s behind the head) holds that; tests of agent on answers and of upstream passed with -race.

--- a/internal/agent/streaming_test.go
+++ b/internal/agent/streaming_test.go
@@ -450,3 +450,26 @@
 		})
 	}
 }
+
+// The first byte of a long answer or of one in chunks may come some time behind its head: as long as its client waits.
+func TestAnswerThatComesBehindItsHead(t *testing.T) {
+	for head, body := range map[string]string{
+		"Content-Length: 100000\r\n":     strings.Repeat("x", 100000),
+		"Transfer-Encoding: chunked\r\n": "a\r\n0123456789\r\n0\r\n\r\n",
+	} {
+		t.Run(head, func(t *testing.T) {
+			t.Parallel()
+			b := testkit.NewBackend(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n")
+				time.Sleep(900 * time.Millisecond)
+				io.WriteString(c, body)
+				return true
+			})
+			d := testkit.NewDiscovery(t, 1, testkit.EntryText("b", b.Addr().String(), "Ready", 0))
+			a := start(t, d, 0)
+			if got := send(t, a.newRequest(t, http.MethodPost, "/pay", "")); got.status != http.StatusOK || len(got.body) < 10 {
+				t.Errorf("%d with %d bytes", got.status, len(got.body))
+			}
+		})
+	}
+}
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -97,6 +97,7 @@
 	message *httpmsg.Message
 	out     core.Outcome
 	told    atomic.Bool  // whoever sets it tells the outcome
+	flows   atomic.Bool  // the answer is to flow once some of its body is there
 	cut     atomic.Int64 // when reading was over, on the clock; 0 while it is not. It stays what it is: a reader compares with it
 }
 
@@ -117,6 +118,8 @@
 			return x.Clock.At(time.Duration(cut))
 		case x.told.Load():
 			return x.flowLimit(latest)
+		case x.flows.Load():
+			return until
 		case latest.IsZero() || end.After(until):
 			return until
 		}
@@ -261,10 +264,9 @@
 		}
 	}
 	// An answer flows only once some of its body is there: one that breaks off behind its head has not begun for its client.
-	wanted := false
 	flow := func() {
 		flowing.do(func() {
-			wanted = true
+			x.flows.Store(true)
 			if held, _ := pipe.Whole(); held > 0 {
 				begin()
 			}
@@ -272,7 +274,7 @@
 	}
 	added := func() {
 		flowing.do(func() {
-			if wanted {
+			if x.flows.Load() {
 				begin()
 			}
 		})
