--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -50,7 +50,8 @@
 	longLeaves   habit = "longleaves" // leaves within a long body
 	hurried      habit = "hurried"    // has little time
 	malformed    habit = "malformed"
-	fresh        habit = "fresh" // on a connection of its own
+	fresh        habit = "fresh"    // on a connection of its own
+	edgeIdle     habit = "edgeidle" // on a connection that has rested for about as long as the agent lets it
 )
 
 // Request is one request as its client saw it.
@@ -98,8 +99,12 @@
 	in   *bufio.Reader
 	used int
 	life int
+	last time.Time // when its latest answer had come
 }
 
+// clientRest is how long the agent lets a connection rest between requests.
+const clientRest = 2100 * time.Millisecond
+
 // run sends requests at random times until the context ends, and waits for the answers.
 func (c *callers) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -187,6 +192,9 @@
 			r.ConnectErr, r.Err, r.Ended = true, err.Error(), monotonic()
 			return
 		}
+		if r.Habit == edgeIdle && conn.used > 0 {
+			time.Sleep(time.Until(conn.last.Add(clientRest + c.between(-5*time.Millisecond, 5*time.Millisecond))))
+		}
 		r.Life, r.Used, r.Local = conn.life, conn.used, conn.LocalAddr().String()
 		c.exchange(conn, r, cl)
 		if unread := r.Status == 0 && r.Bytes == 0 && r.Left == 0 && r.Used > 0 && r.Stopped == 0; !unread || r.Resent || r.Err == lateAnswer {
@@ -270,6 +278,7 @@
 	}
 	r.Whole = true
 	conn.used++
+	conn.last = time.Now()
 	keep = !resp.Close && r.Left == 0 && r.Stopped == 0 && r.Habit != leavesBehind
 	conn.SetDeadline(time.Time{})
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,7 @@
 	AgentReload      TroubleKind = "agent-reload"       // SIGHUP with nothing changed
 	AgentMove        TroubleKind = "agent-move"         // SIGHUP with another discovery
 	AgentThereBack   TroubleKind = "agent-there-back"   // two SIGHUPs in quick succession: to another discovery and back
+	AgentDrain       TroubleKind = "agent-drain"        // operators send its clients away for a while
 	AgentHold        TroubleKind = "agent-hold"         // writes to servers are held up for 150 ms
 	ClockStep        TroubleKind = "clock-step"         // the time of day of all machines is stepped
 	AcceptFails      TroubleKind = "accept-fails"       //
@@ -57,7 +58,7 @@
 	ClientCrowd      TroubleKind = "client-crowd"       // connections that say nothing
 )
 
-var troubleKinds = []TroubleKind{AgentTerm, AgentTerm, AgentKill, AgentPause, AgentReload, AgentMove, AgentThereBack, AgentHold, ClockStep,
+var troubleKinds = []TroubleKind{AgentTerm, AgentTerm, AgentKill, AgentPause, AgentReload, AgentMove, AgentThereBack, AgentDrain, AgentHold, ClockStep,
 	AcceptFails, ConnectFails, ServerReadFails, ServerWriteFails, ClientReadFails, ShortReads, DiskFails, LogStalls, ServerDrain, ServerDrain,
 	ServerCrash, ServerCrash, ServerPause, ServerMode, ServerMode, ServerMode, ServerResets, PathCut, PathSlow, PathReset, DiscoveryDown,
 	DiscoverySilent, DiscoveryReset, DiscoverySlow, DiscoveryPieces, ClientBurst, ClientBurst, ClientCrowd}
@@ -121,7 +122,7 @@
 		{name: "record", effect: byKey, aim: deadline / 4, deadline: deadline, window: time.Duration(300+rng.IntN(900)) * time.Millisecond},
 		{name: "pay", effect: once, aim: deadline / 4, deadline: deadline},
 	}
-	for _, h := range []habit{leaves, resets, halfCloses, leavesBehind, slowWriter, edgeWriter, stopsMid, longBody, longLeaves, hurried, malformed, fresh} {
+	for _, h := range []habit{leaves, resets, halfCloses, leavesBehind, slowWriter, edgeWriter, stopsMid, longBody, longLeaves, hurried, malformed, fresh, edgeIdle} {
 		p.habits = append(p.habits, habitShare{h, 0.06 * rng.Float64()})
 	}
 	for t := quietStart; t < length-quietEnd; t += time.Second + time.Duration(rng.Float64()*2.5*float64(time.Second)) {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -243,6 +243,14 @@
 	a.mostRSS = max(a.mostRSS, residentBytes(a.child.cmd.Process.Pid))
 }
 
+// steer makes a call of the operators. One that fails, as to a process that ends, changes nothing.
+func (a *agent) steer(to string) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	if resp, err := client.Post("http://"+a.control+"/v1/agent/"+to, "", nil); err == nil {
+		resp.Body.Close()
+	}
+}
+
 // residentBytes is how much memory a process has.
 func residentBytes(pid int) int64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -11,7 +11,7 @@
 // happen lets one trouble befall its target, and returns when it is over.
 func (p *play) happen(ctx context.Context, t Trouble) {
 	switch t.Kind {
-	case AgentTerm, AgentKill, AgentPause, AgentReload, AgentMove, AgentThereBack:
+	case AgentTerm, AgentKill, AgentPause, AgentReload, AgentMove, AgentThereBack, AgentDrain:
 		p.befallAgent(ctx, p.agents[t.Target], t)
 	case ServerDrain, ServerCrash, ServerPause, ServerMode, ServerResets:
 		p.befallServer(ctx, t.Target, t)
@@ -72,6 +72,10 @@
 		p.move(a, c)
 	case AgentThereBack:
 		p.thereAndBack(ctx, a, c, t)
+	case AgentDrain:
+		a.steer("drain")
+		sleep(ctx, t.For)
+		a.steer("activate")
 	}
 }
 
