--- a/internal/faultshim/shim.go
+++ b/internal/faultshim/shim.go
@@ -12,7 +12,7 @@
 //	serverread ETIMEDOUT 1
 //	serverwrite EHOSTUNREACH 1
 //	hold 150ms 5         the next five writes to servers are held up for so long before they begin
-//	shortread 1s         for so long every read brings one byte
+//	shortread 1s         for so long every read brings a few bytes
 //	disk ENOSPC          storage fails so until "disk ok"
 //	plant duplicate 0.1  a deliberate fault of the agent itself, with that probability: see Fault
 package faultshim
@@ -210,14 +210,18 @@
 	return m.holdFor
 }
 
-// shortened is a part of a buffer to read into.
+// mostShort is the most that a short read brings, in bytes.
+const mostShort = 64
+
+// shortened is a part of a buffer to read into: now and then of one byte, as a rule of a few. With one each time a long body would
+// take a process under the race detector most of a second, and show no more.
 func (m *Machine) shortened(p []byte) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(p) > 1 && time.Now().Before(m.shortUntil) {
-		return p[:1]
+	if len(p) <= 1 || !time.Now().Before(m.shortUntil) {
+		return p
 	}
-	return p
+	return p[:min(len(p), 1+m.rng.IntN(mostShort))]
 }
 
 // Listen makes the accepts of a listener, and the reads of its connections, fail on command.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -38,7 +38,7 @@
 	ServerReadFails  TroubleKind = "server-read-fails"  //
 	ServerWriteFails TroubleKind = "server-write-fails" //
 	ClientReadFails  TroubleKind = "client-read-fails"  //
-	ShortReads       TroubleKind = "short-reads"        // each read brings one byte
+	ShortReads       TroubleKind = "short-reads"        // each read brings a few bytes
 	DiskFails        TroubleKind = "disk-fails"         //
 	LogStalls        TroubleKind = "log-stalls"         // nobody reads the agent's log
 	ServerDrain      TroubleKind = "server-drain"       // drains, goes, and starts anew
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -161,7 +161,7 @@
 	case ClientReadFails:
 		note(&life.faults, 3*time.Second)
 		c.command("clientread %s %d", t.Detail, t.Count)
-	case ShortReads: // a byte for each read takes a long body a fifth of a second: as if it were held up
+	case ShortReads: // a long body takes so many reads that the agent is held up
 		note(&life.holds, t.For)
 		c.command("shortread %s", t.For)
 	case DiskFails:
