--- a/internal/agent/accept_test.go
+++ b/internal/agent/accept_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -12,7 +11,6 @@
 	"testing"
 	"time"
 
-	"ryeweir/internal/config/operator"
 	"ryeweir/internal/config/platform"
 	"ryeweir/internal/testkit"
 )
@@ -91,16 +89,7 @@
 		t.Fatal(err)
 	}
 	cfg.AcceptFor = 0
-	ctx, stop := context.WithCancel(context.Background())
-	a := &running{site: cfg.Site, addr: l.Addr().String(), url: "http://" + l.Addr().String(), stop: stop, done: make(chan error, 1)}
-	finished := make(chan struct{})
-	go func() {
-		defer close(finished)
-		a.done <- Run(ctx, cfg, operator.Default(), Reloads{}, Sockets{Clients: l}, slog.New(slog.DiscardHandler))
-	}()
-	t.Cleanup(func() { stop(); <-finished })
-	testkit.Eventually(t, "the agent is ready", func() bool { return a.status(t, "/ready") == http.StatusOK })
-	return a
+	return launch(t, cfg, Sockets{Clients: l}, slog.DiscardHandler)
 }
 
 // stalled is a listener that accepts nothing while it stalls, as in a process that was paused: what comes waits in the system's queue.
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -48,15 +48,22 @@
 	}
 	cfg.AcceptFor = acceptFor
 	change(&cfg)
-	l := testkit.Listen(t)
-	operators := testkit.Listen(t)
+	return launch(t, cfg, Sockets{Clients: testkit.Listen(t), Control: testkit.Listen(t)}, log)
+}
+
+// launch runs an agent on its sockets until the test ends, and waits until it is ready.
+func launch(t *testing.T, cfg platform.Config, sockets Sockets, log slog.Handler) *running {
+	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	a := &running{site: cfg.Site, addr: l.Addr().String(), url: "http://" + l.Addr().String(),
-		control: "http://" + operators.Addr().String(), stop: stop, done: make(chan error, 1)}
+	addr := sockets.Clients.Addr().String()
+	a := &running{site: cfg.Site, addr: addr, url: "http://" + addr, stop: stop, done: make(chan error, 1)}
+	if sockets.Control != nil {
+		a.control = "http://" + sockets.Control.Addr().String()
+	}
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
-		a.done <- Run(ctx, cfg, operator.Default(), Reloads{}, Sockets{Clients: l, Control: operators}, slog.New(log))
+		a.done <- Run(ctx, cfg, operator.Default(), Reloads{}, sockets, slog.New(log))
 	}()
 	t.Cleanup(func() { stop(); <-finished })
 	testkit.Eventually(t, "the agent is ready", func() bool { return a.status(t, "/ready") == http.StatusOK })
