--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -117,7 +117,7 @@
 		case cut != 0:
 			return x.Clock.At(time.Duration(cut))
 		case x.told.Load():
-			return x.flowLimit(latest)
+			return latest.Add(flowStall)
 		case x.flows.Load():
 			return until
 		case latest.IsZero() || end.After(until):
@@ -169,19 +169,6 @@
 	return how
 }
 
-// flowLimit is when an answer that flows is given up, if nothing more comes after the latest: later than one that is held, but not
-// past the time that its client waits for.
-func (x *exchange) flowLimit(latest time.Time) time.Time {
-	limit, until := latest.Add(flowStall), x.Clock.At(x.attempt.Until())
-	if soon := latest.Add(heldStall); until.Before(soon) {
-		until = soon
-	}
-	if until.Before(limit) {
-		return until
-	}
-	return limit
-}
-
 // recordWritten records that the request is out, and on which connection.
 func (x *exchange) recordWritten() {
 	written := event.Event{Kind: event.AttemptWritten, Request: x.attempt.Call.ID, Attempt: x.attempt.Number, Server: x.attempt.Server}
@@ -259,7 +246,7 @@
 	var flowing whileOpen // it must not begin once the exchange is over: by then the connection may be another's
 	begin := func() {
 		if x.told.CompareAndSwap(false, true) {
-			x.conn.SetReadDeadline(x.flowLimit(time.Now())) // also of a read that waits now
+			x.conn.SetReadDeadline(time.Now().Add(flowStall)) // also of a read that waits now
 			x.attempt.Report(x.out)
 		}
 	}
