Judge an answer that flows by when it began, in the soak

The account held an answer that its server still gives to its client's time; it began in time, and may go on. What has not begun, and what is held, is judged by its end as before.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -67,6 +67,7 @@
 	Used       int           // requests on the connection before this one
 	Sent       time.Duration // its last byte was written; 0: never
 	Left       time.Duration // the client closed; 0: it stayed
+	Began      time.Duration // the head of its answer had come; 0: never
 	Ended      time.Duration // its answer had come whole, or the connection ended
 	Status     int           // 0: no answer
 	Body       string        // of an answer, its first line
@@ -267,6 +268,7 @@
 		r.fail(err)
 		return
 	}
+	r.Began = monotonic()
 	text, err := io.ReadAll(resp.Body)
 	stop()
 	r.Bytes = 1 + len(text)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"ryeweir/internal/httpmsg"
 )
 
 // Figures of the rules, as the protocol and the acceptance page have them.
@@ -175,7 +177,11 @@
 			return
 		}
 	}
-	late := q.Ended - stopped(life, q.Sent, q.Ended) - q.Sent - q.Timeout
+	end := q.Ended
+	if flows := q.Bytes > httpmsg.HeldBody || !q.Whole; flows && q.Began > 0 {
+		end = q.Began // what has begun in time may go on for as long as its server gives it, and fail with it
+	}
+	late := end - stopped(life, q.Sent, end) - q.Sent - q.Timeout
 	switch {
 	case q.Err == lateAnswer && late <= answerGrace+a.slack: // its client gave up while the agent was paused
 	case late > answerGrace+a.slack: // a client that got none gives up long after that
