--- a/internal/world/discovery/discovery_test.go
+++ b/internal/world/discovery/discovery_test.go
@@ -78,6 +78,7 @@
 		if _, status := s.call("?since=x"); status != http.StatusBadRequest {
 			t.Errorf("status %d", status)
 		}
+		synctest.Wait() // a server tells of what it has written, which its caller may have read by then
 		if last := told[len(told)-1]; last != "agent"+"a"+" false" && last != "agentafalse" {
 			t.Errorf("told last: %q of %v", last, told)
 		}
