--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -12,7 +12,6 @@
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -396,6 +395,3 @@
 		conn.Close()
 	}
 }
-
-// refused reports whether an error says that nobody listens.
-func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -133,7 +133,7 @@
 			return true
 		}
 	}
-	if way := a.paths[server]; way != nil && a.passes(life, server) {
+	if way := a.paths[server]; way != nil {
 		way.mu.Lock()
 		defer way.mu.Unlock()
 		for _, p := range way.shaped {
@@ -145,8 +145,6 @@
 	return false
 }
 
-func (a *account) passes(*agentLife, int) bool { return true }
-
 // checkRequest holds one request against the rules.
 func (a *account) checkRequest(q *Request, c *callers) {
 	i := slices.IndexFunc(a.plan.Classes, func(cl class) bool { return cl.name == q.Class })
@@ -375,7 +373,7 @@
 	from := max(change, life.started)
 	for _, d := range a.agents[q.Agent].discos {
 		from = max(from, d.reached)
-		if d.describe() != "down false, slow 0s, pieces false" {
+		if d.inTrouble() {
 			return 0, ""
 		}
 	}
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -268,9 +267,9 @@
 	}
 }
 
-// describe says which faults are on.
-func (d *discovery) describe() string {
+// inTrouble reports whether it can't be reached or is slow to tell.
+func (d *discovery) inTrouble() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return fmt.Sprintf("down %v, slow %v, pieces %v", d.down, d.slow, d.pieces)
+	return d.down || d.slow > 0 || d.pieces
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -114,7 +114,6 @@
 	discos    []*discovery
 	stallLog  atomic.Bool
 	mostRSS   int64
-	busy      []string // signs that it took all of its processor time
 	violated  map[string]int64
 	expectEnd bool
 }
