--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,4 @@
 # Runs case 2. Exit codes: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 runs it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/rig ] && [ -x bin/ryeweir ] || exit 2
-exec review/bin/rig slowreader review/2/record.txt
+exec review/bin/rig endless review/2/record.txt
