Review, case 1: orders run twice where the late copy is that of a 503

The nodes of case 1 now turn away 15% of the requests with X-Not-Processed, as nodes may. Where the copy of such a 503 passes for the answer to the next order, the agent sends that order to a second node while the first runs it.

--- a/review/rig/latecopy.go
+++ b/review/rig/latecopy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -22,7 +23,7 @@
 func (p *path) draw() time.Duration { return p.least + rand.N(p.most-p.least) }
 
 // write writes a message to the agent once it has passed the path. It returns at once.
-func (p *path) write(c net.Conn, text []byte) {
+func (p *path) write(c net.Conn, text string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	due := time.Now().Add(p.draw())
@@ -30,30 +31,39 @@
 		due = last
 	}
 	p.due[c] = due
-	time.AfterFunc(time.Until(due), func() { c.Write(text) })
+	time.AfterFunc(time.Until(due), func() { io.WriteString(c, text) })
 }
 
 // lateCopy: order nodes in other data centres send some answers twice; the second copy leaves the node some milliseconds after the first,
-// while nothing else waits on the connection. No client may get an answer that was made for another request.
+// while nothing else waits on the connection. Like any nodes they turn some requests away unseen. No client may get an answer that was made
+// for another request, and no order may run twice.
 func lateCopy(r *rig) int {
 	const (
 		callers = 16
 		timeout = 800 * time.Millisecond
 		late    = 9 * time.Millisecond
 		share   = 0.1
-		length  = 20 * time.Second
+		turned  = 0.15 // share of the requests that a node turns away
+		length  = 50 * time.Second
 	)
 	way := &path{least: 3600 * time.Microsecond, most: 6300 * time.Microsecond, due: map[net.Conn]time.Time{}}
 	var mu sync.Mutex
 	calls, copies := map[net.Conn]int{}, 0
+	ran := map[string][]string{} // the nodes that have run an order, by its id
 	nodes := r.startNodes(10, func(s *node, c net.Conn, call *call) bool {
 		mu.Lock()
 		calls[c]++
 		number := calls[c]
 		mu.Unlock()
 		time.Sleep(way.draw()) // of the request
-		time.Sleep(22*time.Millisecond + rand.N(18*time.Millisecond))
-		text := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(call.id), call.id)
+		text := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+		if rand.Float64() >= turned {
+			mu.Lock()
+			ran[call.id] = append(ran[call.id], s.ID)
+			mu.Unlock()
+			time.Sleep(22*time.Millisecond + rand.N(18*time.Millisecond))
+			text = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(call.id), call.id)
+		}
 		way.write(c, text)
 		if r.trouble && rand.Float64() < share {
 			time.AfterFunc(late, func() {
@@ -95,7 +105,14 @@
 	running.Wait()
 	mu.Lock()
 	defer mu.Unlock()
-	r.logf("requests: %d; second copies: %d; clients that got the answer of another request: %d", all, copies, foreign)
+	twice := 0
+	for id, by := range ran {
+		if len(by) > 1 {
+			twice++
+			r.logf("BROKEN: the order %s has run at %v", id, by)
+		}
+	}
+	r.logf("requests: %d; second copies: %d; clients that got the answer of another request: %d; orders that ran twice: %d", all, copies, foreign, twice)
 	r.logf("figures: %s", a.metrics())
-	return verdict(foreign)
+	return verdict(foreign + twice)
 }
