--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -144,6 +145,13 @@
 		}
 		r.logf("exit %d", code)
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		r.logf("ended by %v", <-signals)
+		r.end()
+		os.Exit(notRun)
+	}()
 	time.AfterFunc(maxCase, func() {
 		r.logf("the case took too long; exit %d", notRun)
 		r.end()
