--- a/review/rig/latecopy.go
+++ b/review/rig/latecopy.go
@@ -114,5 +114,9 @@
 	}
 	r.logf("requests: %d; second copies: %d; clients that got the answer of another request: %d; orders that ran twice: %d", all, copies, foreign, twice)
 	r.logf("figures: %s", a.metrics())
+	if !a.running() {
+		r.logf("BROKEN: the agent has ended")
+		return broken
+	}
 	return verdict(foreign + twice)
 }
