--- a/review/rig/slowreader.go
+++ b/review/rig/slowreader.go
@@ -41,6 +41,9 @@
 		return broken
 	}
 	r.logf("client: id %s: status %d, length %d, head after %v", id, response.StatusCode, response.ContentLength, time.Since(began))
+	if response.StatusCode != http.StatusOK { // refused or failed, which this rule allows
+		cannot("the request was not served: nothing to judge")
+	}
 	want := int64(size)
 	if r.trouble {
 		want = rate * int64(pause) / int64(time.Second)
