--- a/review/rig/latecopy.go
+++ b/review/rig/latecopy.go
@@ -73,6 +73,12 @@
 	zones := []string{"colombo", "kandy"}
 	for i, s := range nodes {
 		s.Zone = zones[i%2]
+		s.probed = func(c net.Conn, text string) {
+			mu.Lock()
+			calls[c]++
+			mu.Unlock()
+			way.write(c, text)
+		}
 	}
 	d := r.startDiscovery(entries(nodes))
 	a := r.startAgent(d.addr, d.known(), settings)
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -425,6 +425,7 @@
 	entry
 	rig    *rig
 	answer func(c net.Conn, call *call) bool
+	probed func(c net.Conn, text string) // answers a probe; nil answers at once
 	mu     sync.Mutex
 	calls  []*call
 	conns  map[net.Conn]bool
@@ -505,6 +506,10 @@
 			return
 		}
 		if path := request.URL.Path; path == "/health" || path == "/status/load" {
+			if s.probed != nil {
+				s.probed(c, "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nqps=40,util=0.3")
+				continue
+			}
 			if !respond(c, "200 OK", "", []byte("qps=40,util=0.3")) {
 				return
 			}
