Fix: the first 32 MiB of an answer that never ends no longer reach the client as a whole 200

What callers saw: an endpoint answers 200 without a length, in chunks or up to the end of the connection, and goes on beyond 32 MiB. The client got 33,554,433 bytes and a proper end: a complete answer that no endpoint made. The figures counted it as completed.

Cause: forwardBody read the body through io.LimitReader(body, MaxBodyBytes+1). At its limit that reader returns io.EOF, the same as at the end of a body. Pipe.Fill then marks the content as complete, and the front writes the last chunk. Only a stated length over the limit was refused.

Change: httpmsg.LimitBody returns at most MaxBodyBytes and then ErrBodyTooLarge; io.EOF is only ever the body's own. The error goes through the pipe to the front, which cuts the client's connection (a reset for HTTP/1.0) and counts the request as failed. A body of exactly 32 MiB still passes.

--- a/internal/httpmsg/upload.go
+++ b/internal/httpmsg/upload.go
@@ -9,9 +9,6 @@
 	"time"
 )
 
-// ErrBodyTooLarge means that a body is longer than MaxBodyBytes. Its text is sent to the client.
-var ErrBodyTooLarge = errors.New("the body is over 32 MiB")
-
 // errRequestEnded means that no more of a body is read because its request has ended.
 var errRequestEnded = errors.New("the client's request has ended")
 
--- a/internal/upstream/http/body.go
+++ b/internal/upstream/http/body.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -41,6 +40,9 @@
 //
 // A body with neither a length nor chunks ends with the connection. Failures do not look like such an end: an endpoint that dies
 // resets the connection, and a damaged response leaves it open.
+//
+// A body without a length that goes on after httpmsg.MaxBodyBytes fails there. Its beginning has been streamed by then, so the client's
+// answer is cut off.
 func (x *exchange) forwardBody(ctx context.Context, response *http.Response) pool.ReleaseOutcome {
 	length := response.ContentLength
 	stream := x.newBodyStream(response)
@@ -55,7 +57,7 @@
 		timer := time.AfterFunc(streamDelay, stream.enable)
 		defer timer.Stop()
 	}
-	err := stream.pipe.Fill(io.LimitReader(response.Body, httpmsg.MaxBodyBytes+1), stream.enable, stream.onData)
+	err := stream.pipe.Fill(httpmsg.LimitBody(response.Body), stream.enable, stream.onData)
 	if err != nil && x.reported.CompareAndSwap(false, true) {
 		stream.pipe.Close()
 		return x.failBody(err)
