Fix: an answer that a shutdown cuts off no longer looks complete to an HTTP/1.0 client

What callers saw: an HTTP/1.0 client that gets an answer without a length knows its end by the end of the connection. An agent that ended while such an answer flowed closed the connection at the end of the drain, and the client had a regular end: part of an answer as the whole. The same holds where the process is killed.

Cause: only the handler that notices a broken answer set the reset (abortAnswer). At the end of a drain connlimit.Listener.Abort closes the connection before the handler's next write fails; the kernel of a killed process does as well.

Change: the connection of such an answer resets on any close (SO_LINGER 0) from its head on, and ends regularly again once the whole answer has been flushed to the socket.

Test: TestAnswerCutByAShutdownResetsHTTP10Client failed before ("the answer ends after 720 bytes with <nil>"), passes now; whole answers to HTTP/1.0 clients are in TestAnswerWithoutEndNeverLooksComplete. The kill was not run.

--- a/internal/agent/answer_limit_test.go
+++ b/internal/agent/answer_limit_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"ryeweir/internal/httpmsg"
 	"ryeweir/internal/testkit"
@@ -75,6 +76,29 @@
 	return length, err
 }
 
+// Guards against an answer that a shutdown cuts off and that an HTTP/1.0 client takes for complete, as its connection just ends.
+func TestAnswerCutByAShutdownResetsHTTP10Client(t *testing.T) {
+	t.Parallel()
+	streaming := make(chan struct{})
+	b := testkit.NewBackend(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for n := 0; ; n++ {
+			if _, err := io.WriteString(c, "5\r\npiece\r\n"); err != nil {
+				return false
+			}
+			if n == 5 {
+				close(streaming)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	a := startAgent(t, testkit.NewDiscovery(t, 1, testkit.EndpointJSON("s-1", b.Addr().String(), "Ready", 0)), 0)
+	go func() { <-streaming; a.stop() }()
+	if n, err := a.askHTTP10(t); n == 0 || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the answer ends after %d bytes with %v", n, err)
+	}
+}
+
 // askHTTP11 sends a request as an HTTP/1.1 client and reads the answer to its end.
 func (a *testAgent) askHTTP11(t *testing.T) (length int64, err error) {
 	t.Helper()
--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -90,14 +90,23 @@
 	return ok && c.desynchronized.Load()
 }
 
-// ResetOnClose makes the close of a request's connection send a reset, if the network supports that. An HTTP/1.0 client could not
-// otherwise see that the answer was cut short.
-func ResetOnClose(ctx context.Context) {
+// ResetOnClose makes the close of a request's connection send a reset, if the network supports that, whoever closes it: the process,
+// also when it is killed. An HTTP/1.0 client could not otherwise see that the answer was cut short.
+func ResetOnClose(ctx context.Context) { setLinger(ctx, 0) }
+
+// EndOnClose undoes ResetOnClose: the close of a request's connection ends it regularly, after all that was written.
+func EndOnClose(ctx context.Context) { setLinger(ctx, lingerDefault) }
+
+// lingerDefault selects the kernel's default for SO_LINGER: a close sends in the background what was written, and then the end.
+const lingerDefault = -1
+
+// setLinger sets SO_LINGER on the connection of a request. If this fails, the connection is already broken.
+func setLinger(ctx context.Context, seconds int) {
 	c, ok := fromContext(ctx)
 	if !ok {
 		return
 	}
 	if lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		lingerer.SetLinger(0) // if this fails, the connection is closed without a reset
+		lingerer.SetLinger(seconds)
 	}
 }
--- a/internal/front/http/stream.go
+++ b/internal/front/http/stream.go
@@ -18,6 +18,9 @@
 //
 // A truncated response must not look complete, or the client would use a part of it as the whole. If the endpoint's response ends
 // too early, the client gets a 502 as long as no byte has been written; after that, its connection is closed.
+//
+// To an HTTP/1.0 client an answer of unknown length ends with its connection. Until such an answer has been written to its end, any close
+// of the connection is therefore a reset: also the one at the end of a drain, or of the process.
 func (x *exchange) stream(content *httpmsg.Content) {
 	defer content.Pipe.Close()
 	earlyAnswer := x.upload != nil && !x.upload.Complete() // the endpoint answered before it received the complete body
@@ -32,7 +35,11 @@
 	if earlyAnswer {
 		x.answerBeforeUploadEnds()
 	}
+	endsWithConnection := x.http10 && content.Length < 0
 	out := &clientWriter{ResponseWriter: x.writer, control: http.NewResponseController(x.writer), flushEach: !complete}
+	if endsWithConnection {
+		out.beforeHead = func() { framing.ResetOnClose(x.ctx) }
+	}
 	if _, err := content.Pipe.WriteTo(out); err != nil {
 		if !out.headWritten && x.ctx.Err() == nil {
 			x.writer.Header().Del("Content-Length")
@@ -42,6 +49,12 @@
 		x.abortAnswer(err)
 	}
 	out.writeHead()
+	if endsWithConnection {
+		if err := out.control.Flush(); err != nil {
+			x.abortAnswer(err)
+		}
+		framing.EndOnClose(x.ctx)
+	}
 	x.server.Metrics.RequestAnswered(x.call.Class, metrics.Completed)
 	if earlyAnswer {
 		x.discardUpload(out.control)
@@ -81,7 +94,8 @@
 type clientWriter struct {
 	http.ResponseWriter
 	control     *http.ResponseController
-	flushEach   bool // flush after each piece, because the next one may arrive much later
+	flushEach   bool   // flush after each piece, because the next one may arrive much later
+	beforeHead  func() // called before the head is written; may be nil
 	headWritten bool
 }
 
@@ -89,6 +103,9 @@
 func (w *clientWriter) writeHead() {
 	if !w.headWritten {
 		w.headWritten = true
+		if w.beforeHead != nil {
+			w.beforeHead()
+		}
 		w.WriteHeader(http.StatusOK)
 	}
 }
