Fix: a client that reads a long answer slowly but all the time is no longer cut off

What callers saw: a client that reads a 12 MiB answer at 64 kB a second, without a pause, lost its connection 5 s after its request; it got what was in the kernel's buffers (about 4 MB) and then an unexpected end.

Cause: clientWriter gave each piece of the answer a write deadline of 5 s. Such a deadline measures the kernel's send buffer, not the client: the buffer grows to 4 MB, and the kernel wakes a writer that found it full only when a third of it is free, which takes over 20 s at 64 kB a second.

The event said broken_answer, as for an endpoint that breaks off: it has the reason client_stalled now.

Change: socket.Sender writes for as long as the peer acknowledges what was written (SIOCOUTQ), looking once a second while a write waits. connlimit.Conn writes through it, so that all writes to clients are held to it and no handler sets a write deadline. A client that takes nothing is let go after 7 s (5 s before), one under 8 kB a second a little later; the memory of a stream stays its pipe of at most 64 KiB on the budget. The end of a drain has its own limit, 5 s as before. A write that failed makes the close of its connection a plain one, without a lingering close.

Why 7 s: a kernel reopens a closed window only when a sixteenth of the receive buffer is free. Measured steps at 64 kB a second: 1.7 s for a client that was slow from the start, 4.9 to 5.8 s after 1 to 100 MB read at full speed, 14 s after 1 GB on one connection. The last is over 7 s and is still cut; TestClientsThatDoNotReadDoNotDelayOthers holds clients that take nothing to 8 s, and stays as it is.

--- a/internal/agent/metrics_test.go
+++ b/internal/agent/metrics_test.go
@@ -15,6 +15,7 @@
 	Downstream  map[string]map[string]int `json:"downstream_requests"`
 	Upstream    int                       `json:"upstream_requests"`
 	Pending     int
+	Events      map[string]map[string]int
 	Members     int
 	Unavailable int `json:"members_unavailable"`
 }
--- /dev/null
+++ b/internal/agent/slow_reader_test.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"ryeweir/internal/testkit"
+)
+
+// slowClientRate is the rate, in bytes per second, of the platform's slow clients.
+const slowClientRate = 64_000
+
+// readSlowly reads at slowClientRate for the given time.
+func readSlowly(r io.Reader, d time.Duration) (n int64, err error) {
+	const pause = 100 * time.Millisecond
+	for end := time.Now().Add(d); err == nil && time.Now().Before(end); time.Sleep(pause) {
+		var read int64
+		read, err = io.CopyN(io.Discard, r, slowClientRate*int64(pause)/int64(time.Second))
+		n += read
+	}
+	return n, err
+}
+
+// Guards against an answer that is cut off while its client reads it slowly, but all the time: a deadline that measures the kernel's send
+// buffer passes, because a writer that found the buffer full is woken only when a third of it is free.
+func TestSlowReaderGetsItsWholeAnswer(t *testing.T) {
+	for name, head := range map[string]string{
+		"with a length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 12<<20),
+		"HTTP/1.0":      "HTTP/1.0 200 OK\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const size = 12 << 20
+			b := testkit.NewBackend(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				io.WriteString(c, head)
+				_, err := io.CopyN(c, endless{}, size)
+				return err == nil && name != "HTTP/1.0"
+			})
+			a := startAgent(t, testkit.NewDiscovery(t, 1, testkit.EndpointJSON("s-1", b.Addr().String(), "Ready", 0)), 0)
+			c := a.dial(t)
+			a.pay(t, "x").Write(c)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			slowly, err := readSlowly(resp.Body, 8*time.Second)
+			if err != nil {
+				t.Fatalf("cut off after %d bytes: %v", slowly, err)
+			}
+			if rest, err := io.Copy(io.Discard, resp.Body); err != nil || slowly+rest != size {
+				t.Errorf("%d of %d bytes, error %v", slowly+rest, size, err)
+			}
+		})
+	}
+}
+
+// Guards against a client that holds its connection, and one to an endpoint, without taking anything of its answer: it is let go in time,
+// and the log says that the client was the cause.
+func TestClientThatTakesNothingIsLetGo(t *testing.T) {
+	t.Parallel()
+	closed := make(chan time.Time, 1)
+	b := testkit.NewBackend(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n")
+		io.CopyN(c, endless{}, 30000000)
+		closed <- time.Now()
+		return false
+	})
+	a := startAgent(t, testkit.NewDiscovery(t, 1, testkit.EndpointJSON("s-1", b.Addr().String(), "Ready", 0)), 0)
+	c := a.dial(t)
+	began := time.Now()
+	a.pay(t, "x").Write(c)
+	const longest = 7*time.Second + 2*time.Second // the stated time, and time for a busy machine
+	if took := (<-closed).Sub(began); took > longest {
+		t.Errorf("let go after %v, want %v at most", took, longest)
+	}
+	testkit.Eventually(t, "the request is abandoned because its client stalled", func() bool {
+		f := a.readCounters(t)
+		return f.Pending == 0 && f.Events["request_abandoned"]["client_stalled"] == 1
+	})
+}
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ryeweir/internal/event"
+	"ryeweir/internal/socket"
 )
 
 // Conn is a connection of a Listener. The Listener's lock guards its state. The package comment describes the states of a
@@ -19,6 +20,7 @@
 	hadRequest   bool      // a handler has accepted a request on this connection
 	readDeadline time.Time // as set by the server or by bytesReceived; not in force while a close is pending
 	readAhead    readAhead
+	sender       *socket.Sender // nil if writes have no stall limit
 
 	// State of the request in flight.
 	requestID     string // empty if there is none
@@ -86,6 +88,20 @@
 	return n, err
 }
 
+// Write writes to the client for as long as the client takes what is written (Listener.StallLimit). After a write that failed the answer
+// is cut short.
+func (c *Conn) Write(p []byte) (n int, err error) {
+	if c.sender != nil {
+		n, err = c.sender.Write(p)
+	} else {
+		n, err = c.Conn.Write(p)
+	}
+	if err != nil {
+		c.markAnswerAborted()
+	}
+	return n, err
+}
+
 // readSocket reads from the underlying connection. The lock must be held; it is released during the read.
 func (c *Conn) readSocket(p []byte) (n int, err error) {
 	for {
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -7,6 +7,7 @@
 
 	"ryeweir/internal/event"
 	"ryeweir/internal/invariant"
+	"ryeweir/internal/socket"
 )
 
 // Listener is a net.Listener with a bounded number of open connections. Its exported fields must be set before the first Accept.
@@ -15,6 +16,8 @@
 
 	// HeaderTimeout limits how long the client may take to send the head of a request that begins on an idle connection.
 	HeaderTimeout time.Duration
+	// StallLimit limits how long writes may wait for a client. With the zero value they may wait until their deadline.
+	StallLimit socket.StallLimit
 	// Events records the accept and the close of each connection, and the end of each answer. It may be nil, as the methods of a
 	// nil Recorder that are called here do nothing.
 	Events *event.Recorder
@@ -54,6 +57,9 @@
 		return nil, net.ErrClosed
 	}
 	c := &Conn{Conn: raw, listener: l, lastActivity: time.Now(), id: l.Events.NextConnectionID()}
+	if l.StallLimit.Timeout > 0 {
+		c.sender = socket.NewSender(raw, l.StallLimit)
+	}
 	l.conns[c] = struct{}{}
 	l.lastAccept = c.lastActivity
 	l.recordAccept(c)
--- a/internal/connlimit/request.go
+++ b/internal/connlimit/request.go
@@ -60,10 +60,12 @@
 // MarkAnswerAborted records that the answer to the request in flight was cut short. The connection is then closed without a
 // lingering close, so that the answer does not look complete.
 func MarkAnswerAborted(ctx context.Context) {
-	c, ok := fromContext(ctx)
-	if !ok {
-		return
+	if c, ok := fromContext(ctx); ok {
+		c.markAnswerAborted()
 	}
+}
+
+func (c *Conn) markAnswerAborted() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.answerAborted = true
--- a/internal/front/http/answer.go
+++ b/internal/front/http/answer.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"ryeweir/internal/connlimit"
 	"ryeweir/internal/core"
@@ -44,13 +43,11 @@
 		header.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
 	}
 	status, outcome := statusOf(a.Kind)
-	control := http.NewResponseController(x.writer)
-	control.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
 	x.recordAnswer(a.Reason)
 	x.writer.WriteHeader(status)
 	x.server.Metrics.RequestAnswered(x.call.Class, outcome)
 	if x.upload != nil {
-		x.discardUpload(control)
+		x.discardUpload(http.NewResponseController(x.writer))
 	}
 }
 
--- a/internal/front/http/config.go
+++ b/internal/front/http/config.go
@@ -9,6 +9,7 @@
 	"ryeweir/internal/event"
 	"ryeweir/internal/invariant"
 	"ryeweir/internal/metrics"
+	"ryeweir/internal/socket"
 	"ryeweir/internal/wire"
 )
 
@@ -39,17 +40,25 @@
 
 // Timeouts of client connections.
 const (
-	headerTimeout      = 2600 * time.Millisecond // to read the head of a request
-	idleTimeout        = 2100 * time.Millisecond // between requests
-	answerWriteTimeout = 2 * time.Second         // to write an answer without content
-	clientStallTimeout = 5 * time.Second         // to write one piece of an answer's content
+	headerTimeout = 2600 * time.Millisecond // to read the head of a request
+	idleTimeout   = 2100 * time.Millisecond // between requests
 )
 
+// clientStallLimit ends answers to clients that do not read them.
+//
+// A client that reads slowly acknowledges in steps: its kernel reopens a closed window only when a sixteenth of the receive buffer is
+// free. At 64 kB/s, the slowest rate of the platform's clients, Timeout covers the steps of a buffer of 7 MB.
+var clientStallLimit = socket.StallLimit{Timeout: 7 * time.Second, MinRate: minDownloadRate}
+
+// minDownloadRate is the rate, in bytes per second, below which an answer is cut off.
+const minDownloadRate = 8 << 10
+
 // Timing of a drain.
 const (
 	drainIdleTimeout   = time.Second            // of idle connections during a drain; their clients have other connections, or are going away
 	drainSweepInterval = 250 * time.Millisecond // between two searches for idle connections during a drain
 	drainPollInterval  = 5 * time.Millisecond   // between two checks whether the drain is complete
+	drainStreamTimeout = 5 * time.Second        // for answers that are being written when the time for requests is over
 	maxCountedDeadline = 3 * time.Second        // the longest request deadline that the platform's restart waits for
 )
 
--- a/internal/front/http/drain.go
+++ b/internal/front/http/drain.go
@@ -57,7 +57,7 @@
 	for _, class := range s.Site.Logic.Classes {
 		longest = max(longest, class.Timeout)
 	}
-	return s.AcceptWindow + min(longest, maxCountedDeadline) + DrainMargin, clientStallTimeout
+	return s.AcceptWindow + min(longest, maxCountedDeadline) + DrainMargin, drainStreamTimeout
 }
 
 // acceptBacklog waits until the connections in the kernel's accept queue have been accepted.
--- a/internal/front/http/serve.go
+++ b/internal/front/http/serve.go
@@ -54,7 +54,8 @@
 	retrying := acceptretry.New(l, s.Log, s.Events)
 	resized := socket.Listener{Listener: retrying, BufferBytes: s.SocketBufferBytes}
 	clientListener := connlimit.New(framing.Listener{Listener: resized}, s.MaxConnections)
-	clientListener.HeaderTimeout, clientListener.Events, clientListener.Monitor = headerTimeout, s.Events, s.Monitor
+	clientListener.HeaderTimeout, clientListener.StallLimit = headerTimeout, clientStallLimit
+	clientListener.Events, clientListener.Monitor = s.Events, s.Monitor
 	return clientListener
 }
 
--- a/internal/front/http/stream.go
+++ b/internal/front/http/stream.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
-	"time"
 
 	"ryeweir/internal/connlimit"
 	"ryeweir/internal/core"
@@ -12,6 +12,7 @@
 	"ryeweir/internal/framing"
 	"ryeweir/internal/httpmsg"
 	"ryeweir/internal/metrics"
+	"ryeweir/internal/socket"
 )
 
 // stream copies an endpoint's response to the client as it arrives.
@@ -76,9 +77,13 @@
 // abortAnswer closes the connection of an answer that was cut short. It does not return: it panics with http.ErrAbortHandler.
 func (x *exchange) abortAnswer(err error) {
 	x.server.Metrics.RequestAnswered(x.call.Class, metrics.Failed)
+	reason := event.AnswerTruncated
+	if errors.Is(err, socket.ErrPeerStalled) {
+		reason = event.ClientStalled
+	}
 	x.server.Events.Record(event.Event{
 		Kind:       event.RequestAbandoned,
-		Reason:     event.AnswerTruncated,
+		Reason:     reason,
 		Request:    x.call.ID,
 		Connection: connlimit.ConnectionID(x.ctx),
 		Detail:     err.Error(),
@@ -90,7 +95,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// clientWriter writes the content of an answer to a client. A client that stops reading makes a write fail.
+// clientWriter writes the content of an answer to a client. Its writes fail if the client stops reading (clientStallLimit).
 type clientWriter struct {
 	http.ResponseWriter
 	control     *http.ResponseController
@@ -110,11 +115,8 @@
 	}
 }
 
-// Write writes a piece of the content. It fails if the client does not take it within clientStallTimeout.
+// Write writes a piece of the content.
 func (w *clientWriter) Write(p []byte) (int, error) {
-	if err := w.control.SetWriteDeadline(time.Now().Add(clientStallTimeout)); err != nil {
-		return 0, err
-	}
 	w.writeHead()
 	n, err := w.ResponseWriter.Write(p)
 	if err == nil && w.flushEach {
