Fix: a client's pause no longer counts as a stall of the endpoint that sends its answer

What callers saw: a streamed answer was cut off when its client took nothing for over 5 s and then read on, though the endpoint had sent all the time.

Cause: the deadline of a read from the endpoint was 5 s after the latest bytes (streamStallTimeout). While the agent waits for room in the pipe it does not read, so the next read began with a deadline in the past and failed at once, with bytes waiting in the kernel. The same held for the 0.5 s of a buffered body, which never waits for a client.

Change: a pause is measured from the begin of the read. How long a client may hold up the reading is limited on its own side.

Test: TestClientsPauseIsNoStallOfTheEndpoint (a stated length, and a body that ends with its connection) failed before: "65536 of 4194304 bytes, error read tcp ...: i/o timeout". TestStreamedAnswerMayOutlastItsTimeout still holds the 5 s for an endpoint that is silent.

--- a/internal/upstream/http/body_test.go
+++ b/internal/upstream/http/body_test.go
@@ -1,12 +1,14 @@
 package http
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"ryeweir/internal/httpmsg"
 	"ryeweir/internal/testkit"
 	"ryeweir/logic"
 )
@@ -36,3 +38,45 @@
 		}
 	}
 }
+
+// pausingWriter counts what it is given, and pauses once, after its first piece.
+type pausingWriter struct {
+	pause time.Duration
+	n     int
+}
+
+func (w *pausingWriter) Write(p []byte) (int, error) {
+	w.n += len(p)
+	time.Sleep(w.pause)
+	w.pause = 0
+	return len(p), nil
+}
+
+// Guards against an endpoint that is cut off because the client paused: the time for which the agent itself did not read is no pause of the
+// endpoint.
+func TestClientsPauseIsNoStallOfTheEndpoint(t *testing.T) {
+	t.Parallel()
+	const size = 4 << 20
+	for name, head := range map[string]string{
+		"with a length":    "HTTP/1.1 200 OK\r\nContent-Length: 4194304\r\n\r\n",
+		"ended by a close": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := testkit.NewBackend(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				io.WriteString(c, head)
+				c.Write(make([]byte, size))
+				return false
+			})
+			f := newFixture(t, backend.Addr().String(), 10)
+			attempt := f.attempt(time.Second)
+			go f.Execute(context.Background(), attempt.Attempt)
+			content := (<-attempt.reported).Content.(*httpmsg.Content)
+			defer content.Discard()
+			client := &pausingWriter{pause: streamStallTimeout + time.Second}
+			if _, err := content.Pipe.WriteTo(client); err != nil || client.n != size {
+				t.Errorf("%d of %d bytes, error %v", client.n, size, err)
+			}
+		})
+	}
+}
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -73,19 +73,20 @@
 	}
 }
 
-// readDeadline returns when the next bytes of the response must have arrived. lastRead is zero before the first ones.
-func (x *exchange) readDeadline(lastRead time.Time) time.Time {
+// readDeadline returns when a read that began at the given time must have returned bytes of the response. The time is zero before the
+// first ones.
+func (x *exchange) readDeadline(readBegan time.Time) time.Time {
 	if cutoff := x.readCutoff.Load(); cutoff != 0 {
 		return x.Clock.At(time.Duration(cutoff))
 	}
 	if x.reported.Load() {
-		return lastRead.Add(streamStallTimeout)
+		return readBegan.Add(streamStallTimeout)
 	}
 	attemptDeadline := x.Clock.At(x.attempt.Deadline())
-	if x.streaming.Load() || lastRead.IsZero() {
+	if x.streaming.Load() || readBegan.IsZero() {
 		return attemptDeadline
 	}
-	if stalled := lastRead.Add(bufferStallTimeout); stalled.Before(attemptDeadline) {
+	if stalled := readBegan.Add(bufferStallTimeout); stalled.Before(attemptDeadline) {
 		return stalled
 	}
 	return attemptDeadline
