Fix: a long upload is no longer cut off while the endpoint reads it slowly but all the time

What callers saw: a body of 12 MiB to an endpoint that reads 64 kB a second was given up 5 s after the buffers were full, and the client got 503.

Cause: the same as for a slow reader of an answer, in the other direction: streamWriter gave each 32 KiB a write deadline of 5 s, which measures the kernel's send buffer and not the endpoint.

Change: the body goes through socket.Sender, with the 5 s as the time for which the endpoint may take nothing.

Test: TestUploadToASlowEndpointArrivesWhole, with a length and in chunks, failed before ("status 503" after 5.05 s).

--- a/internal/agent/slow_reader_test.go
+++ b/internal/agent/slow_reader_test.go
@@ -83,3 +83,45 @@
 		return f.Pending == 0 && f.Events["request_abandoned"]["client_stalled"] == 1
 	})
 }
+
+// Guards against an upload that is cut off while the endpoint reads it slowly, but all the time, for the same reason as an answer to a slow
+// client.
+func TestUploadToASlowEndpointArrivesWhole(t *testing.T) {
+	t.Parallel()
+	const size = 12 << 20
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("chunked %v", chunked), func(t *testing.T) {
+			t.Parallel()
+			l := testkit.Listen(t)
+			received := make(chan int64, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				slowly, _ := readSlowly(r.Body, 8*time.Second)
+				rest, err := io.Copy(io.Discard, r.Body)
+				if err != nil {
+					t.Errorf("cut off after %d bytes: %v", slowly+rest, err)
+				}
+				received <- slowly + rest
+				io.WriteString(c, testkit.OKResponse)
+			}()
+			a := startAgent(t, testkit.NewDiscovery(t, 1, testkit.EndpointJSON("s-1", l.Addr().String(), "Ready", 0)), 0)
+			r := a.pay(t, "")
+			r.Body, r.ContentLength = io.NopCloser(io.LimitReader(endless{}, size)), size
+			if chunked {
+				r.ContentLength = -1
+			}
+			if got := send(t, r); got.status != http.StatusOK || <-received != size {
+				t.Errorf("status %d", got.status)
+			}
+		})
+	}
+}
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -17,7 +17,7 @@
 	// bufferStallTimeout is how long a buffered response may pause. A damaged response stops in the middle and leaves its
 	// connection open, and ending it early leaves time for another attempt.
 	bufferStallTimeout = 500 * time.Millisecond
-	// streamStallTimeout is how long a streamed body may pause, in either direction.
+	// streamStallTimeout is how long an endpoint may send nothing of a streamed response, or take nothing of a streamed request.
 	streamStallTimeout = 5 * time.Second
 )
 
--- a/internal/upstream/http/write.go
+++ b/internal/upstream/http/write.go
@@ -4,13 +4,13 @@
 	"bufio"
 	"errors"
 	"io"
-	"net"
 	"net/http/httputil"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"ryeweir/internal/httpmsg"
+	"ryeweir/internal/socket"
 )
 
 const (
@@ -21,6 +21,9 @@
 	lateResponseTimeout = 20 * time.Millisecond
 )
 
+// endpointStallLimit ends the write of a body to an endpoint that does not read it.
+var endpointStallLimit = socket.StallLimit{Timeout: streamStallTimeout, MinRate: httpmsg.MinUploadRate}
+
 // errAnsweredEarly ends the write of a request when its response starts to arrive.
 var errAnsweredEarly = errors.New("endpoint answered before it received the whole request")
 
@@ -104,7 +107,7 @@
 // writeBody writes the head, and the body as it arrives from the client.
 func (x *exchange) writeBody(watch *responseWatch) error {
 	head := x.appendHead(x.state.requestBuffer[:0], x.remainingTimeout())
-	writer := bufio.NewWriterSize(streamWriter{x.conn, watch}, writeBufferBytes)
+	writer := bufio.NewWriterSize(x.newSender(watch), writeBufferBytes)
 	writer.Write(head) // Flush returns the error
 	if err := copyBody(writer, &x.message.Body); err != nil {
 		return err
@@ -163,20 +166,14 @@
 	return watch
 }
 
-// streamWriter writes to a connection while the writes make progress and no response has started.
-type streamWriter struct {
-	net.Conn
-	watch *responseWatch
-}
-
-// Write implements io.Writer.
-func (w streamWriter) Write(p []byte) (int, error) {
-	if err := w.SetWriteDeadline(time.Now().Add(streamStallTimeout)); err != nil {
-		return 0, err
-	}
-	// This check must follow SetWriteDeadline, which might otherwise overwrite the deadline with which the watch ends this write.
-	if w.watch.answered.Load() {
-		return 0, errAnsweredEarly
+// newSender returns a sender that writes to the endpoint while the endpoint takes what is written and no response has started.
+func (x *exchange) newSender(watch *responseWatch) *socket.Sender {
+	sender := socket.NewSender(x.conn.Conn, endpointStallLimit)
+	sender.Interrupted = func() error {
+		if watch.answered.Load() {
+			return errAnsweredEarly
+		}
+		return nil
 	}
-	return w.Conn.Write(p)
+	return sender
 }
