Fix: time for which the agent does not read an upload no longer counts as its client's slowness

What callers saw: an upload whose endpoint takes under 8 kB a second for over 10 s could end with 400 ("too slow"), though the client had sent everything: its bytes waited in the agent's kernel.

Cause: Upload held the client to MinUploadRate by the clock since the head was read. While the body waits for the endpoint or for a connection the agent reads nothing, and the next read began with a deadline in the past.

Change: the rate is taken over the time for which reads have waited for the client.

Test: TestTimeForWhichTheAgentDoesNotReadIsNoneOfTheClients failed before ("aborted after 4096 of 24576 bytes: i/o timeout"). TestUploadDeadlineBoundsRateAndPause keeps its table: the begin that it passed by StartedAt is now the time that the reads have waited.

--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -73,7 +73,6 @@
 	upload := &httpmsg.Upload{
 		Source:          r.Body,
 		SetReadDeadline: http.NewResponseController(w).SetReadDeadline,
-		StartedAt:       time.Now(),
 	}
 	return httpmsg.ReceiveBody(r, upload, s.BodyBudget)
 }
--- a/internal/httpmsg/message.go
+++ b/internal/httpmsg/message.go
@@ -12,7 +12,7 @@
 	MaxBodyBytes = 32 << 20
 	// MaxBufferedBytes is the maximum number of bytes of a body that are buffered. A body that is not longer can be sent again.
 	MaxBufferedBytes = 64 << 10
-	// MinUploadRate is the rate, in bytes per second since the head was read, below which an upload is aborted.
+	// MinUploadRate is the rate, in bytes per second for which the agent waits for the client, below which an upload is aborted.
 	MinUploadRate = 8 << 10
 	// UploadStallTimeout is the longest time that an upload may pause, whatever its rate so far.
 	UploadStallTimeout = 2200 * time.Millisecond
--- a/internal/httpmsg/upload.go
+++ b/internal/httpmsg/upload.go
@@ -14,16 +14,17 @@
 
 // Upload reads a body from a client as long as the upload makes progress.
 //
-// The body must arrive at MinUploadRate or faster, measured from the time at which its head had been read, with UploadStallTimeout
-// as a head start. It must never pause for longer than UploadStallTimeout. This guards against clients that occupy connections and
-// memory by sending a byte now and then.
+// The body must arrive at MinUploadRate or faster, measured over the time for which reads have waited for the client, with
+// UploadStallTimeout as a head start. It must never pause for longer than UploadStallTimeout. This guards against clients that occupy
+// connections and memory by sending a byte now and then. The time between two reads does not count: the agent may have to wait for an
+// endpoint then, while the client's bytes wait for the agent.
 type Upload struct {
 	Source          io.Reader
 	SetReadDeadline func(time.Time) error // of the client's connection
-	StartedAt       time.Time             // when the head had been read
 
-	received int64       // bytes
-	stopped  atomic.Bool // stop has interrupted the reading at least once; resume does not reset it
+	received int64         // bytes
+	waited   time.Duration // for which reads have waited for the client
+	stopped  atomic.Bool   // stop has interrupted the reading at least once; resume does not reset it
 
 	mu          sync.Mutex // guards the fields below and the order of calls to SetReadDeadline
 	complete    bool       // the end has been read
@@ -34,10 +35,12 @@
 // more than MaxBodyBytes have arrived. At the end it clears the deadline, because the next read of the connection is for another
 // request.
 func (u *Upload) Read(p []byte) (int, error) {
-	if err := u.setDeadline(u.nextDeadline(time.Now())); err != nil {
+	began := time.Now()
+	if err := u.setDeadline(u.nextDeadline(began)); err != nil {
 		return 0, err
 	}
 	n, err := u.Source.Read(p)
+	u.waited += time.Since(began)
 	u.received += int64(n)
 	if u.received > MaxBodyBytes {
 		return 0, ErrBodyTooLarge
@@ -50,14 +53,10 @@
 	return n, err
 }
 
-// nextDeadline returns the time by which more bytes must arrive.
+// nextDeadline returns the time by which more bytes must arrive for a read that begins now.
 func (u *Upload) nextDeadline(now time.Time) time.Time {
-	byRate := u.StartedAt.Add(UploadStallTimeout + time.Duration(u.received)*time.Second/MinUploadRate)
-	byStall := now.Add(UploadStallTimeout)
-	if byStall.Before(byRate) {
-		return byStall
-	}
-	return byRate
+	byRate := UploadStallTimeout + time.Duration(u.received)*time.Second/MinUploadRate - u.waited
+	return now.Add(min(byRate, UploadStallTimeout))
 }
 
 // setDeadline sets the deadline of the next read. It fails if reading has been interrupted, because the new deadline would overwrite
