Fix: the beginning of a load report over 4 KiB is no longer taken for the whole report

What operators saw: nothing; an endpoint whose load report is longer than 4 KiB was believed by its first 4,097 bytes, so that a figure cut in its middle counted (a rate of 0 in the test).

Cause: the body of a health check is read through a limit, and what was read was parsed whether or not the limit had cut it.

Change: a report over the limit counts as malformed. The check itself still succeeds, as before: the endpoint answered 200.

Test: the case "a report too long" of TestHealthCheckResponses failed before ("Utilization:0.5 RequestRate:0").

--- a/internal/agent/slow_reader_test.go
+++ b/internal/agent/slow_reader_test.go
@@ -29,31 +29,39 @@
 // Guards against an answer that is cut off while its client reads it slowly, but all the time: a deadline that measures the kernel's send
 // buffer passes, because a writer that found the buffer full is woken only when a third of it is free.
 func TestSlowReaderGetsItsWholeAnswer(t *testing.T) {
-	for name, head := range map[string]string{
-		"with a length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 12<<20),
-		"HTTP/1.0":      "HTTP/1.0 200 OK\r\n\r\n",
+	for name, c := range map[string]struct {
+		head string
+		size int64
+		ends bool // the agent ends while the client reads
+	}{
+		"with a length":                  {"HTTP/1.1 200 OK\r\nContent-Length: 12582912\r\n\r\n", 12 << 20, false},
+		"HTTP/1.0":                       {"HTTP/1.0 200 OK\r\n\r\n", 12 << 20, false},
+		"written before the client read": {"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n", 1 << 20, false},
+		"written before the agent ends":  {"HTTP/1.0 200 OK\r\n\r\n", 1 << 20, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			const size = 12 << 20
-			b := testkit.NewBackend(t, func(c net.Conn, _ *http.Request, _ int) bool {
-				io.WriteString(c, head)
-				_, err := io.CopyN(c, endless{}, size)
-				return err == nil && name != "HTTP/1.0"
+			b := testkit.NewBackend(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				io.WriteString(conn, c.head)
+				io.CopyN(conn, endless{}, c.size)
+				return false
 			})
 			a := startAgent(t, testkit.NewDiscovery(t, 1, testkit.EndpointJSON("s-1", b.Addr().String(), "Ready", 0)), 0)
-			c := a.dial(t)
-			a.pay(t, "x").Write(c)
-			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			client := a.dial(t)
+			a.pay(t, "x").Write(client)
+			resp, err := http.ReadResponse(bufio.NewReader(client), nil)
 			if err != nil {
 				t.Fatal(err)
 			}
+			if c.ends {
+				time.AfterFunc(time.Second, a.stop)
+			}
 			slowly, err := readSlowly(resp.Body, 8*time.Second)
 			if err != nil {
 				t.Fatalf("cut off after %d bytes: %v", slowly, err)
 			}
-			if rest, err := io.Copy(io.Discard, resp.Body); err != nil || slowly+rest != size {
-				t.Errorf("%d of %d bytes, error %v", slowly+rest, size, err)
+			if rest, err := io.Copy(io.Discard, resp.Body); err != nil || slowly+rest != c.size {
+				t.Errorf("%d of %d bytes, error %v", slowly+rest, c.size, err)
 			}
 		})
 	}
--- a/internal/upstream/http/healthcheck.go
+++ b/internal/upstream/http/healthcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -92,7 +93,11 @@
 	return head, body, err
 }
 
-// interpretHealthCheck returns what a complete response says about the endpoint.
+// errReportTooLong means that the body of a health check, with its load report, is over maxHealthCheckBody.
+var errReportTooLong = fmt.Errorf("the load report of a health check is over %d bytes", maxHealthCheckBody)
+
+// interpretHealthCheck returns what a response says about the endpoint. Of a body over maxHealthCheckBody only the beginning has been read,
+// which is no report.
 func (u *Upstream) interpretHealthCheck(head *http.Response, body []byte, kind healthcheck.RequestKind) healthcheck.Response {
 	switch head.StatusCode {
 	case http.StatusOK:
@@ -106,7 +111,14 @@
 		return noResponse(logic.Failed)
 	}
 	response := noResponse(logic.OK)
-	if text := strings.TrimSpace(string(body)); kind == healthcheck.LoadRequest && text != "" {
+	if kind != healthcheck.LoadRequest {
+		return response
+	}
+	if len(body) > maxHealthCheckBody {
+		u.OnMalformedReport(errReportTooLong)
+		return response
+	}
+	if text := strings.TrimSpace(string(body)); text != "" {
 		response.LoadReport = u.readLoadReport([]string{text})
 	}
 	return response
--- a/internal/upstream/http/healthcheck_test.go
+++ b/internal/upstream/http/healthcheck_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 )
 
 // Endpoints answer health checks in every form, including damaged ones. The result must be exact, and the connection must be reused
-// only after a complete response.
+// only after a complete response. The beginning of a report that goes on beyond the limit guards against figures of half a report.
 func TestHealthCheckResponses(t *testing.T) {
 	for name, test := range map[string]struct {
 		script      func(c net.Conn, r *http.Request, n int) bool
@@ -24,18 +25,19 @@
 		unsupported bool
 		idle        int
 	}{
-		"a report":         {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\nutil=0.5,qps=40.\n"), healthcheck.LoadRequest, logic.OK, 0.5, false, 1},
-		"a malformed one":  {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nutil=abc"), healthcheck.LoadRequest, logic.OK, -1, false, 1},
-		"health":           {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nutil=0.5"), healthcheck.HealthRequest, logic.OK, -1, false, 1},
-		"too long":         {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + string(make([]byte, 9000))), healthcheck.LoadRequest, logic.OK, -1, false, 0},
-		"unhealthy":        {testkit.RespondWith("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), healthcheck.LoadRequest, logic.Rejected, -1, false, 1},
-		"an error":         {testkit.RespondWith("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), healthcheck.LoadRequest, logic.Failed, -1, false, 1},
-		"not found":        {testkit.RespondWith("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"), healthcheck.LoadRequest, logic.Failed, -1, true, 1},
-		"noise":            {testkit.RespondWith("what is this"), healthcheck.LoadRequest, logic.Reset, -1, false, 0},
-		"a reset":          {resetsConnection, healthcheck.LoadRequest, logic.Reset, -1, false, 0},
-		"half a response":  {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nutil"), healthcheck.LoadRequest, logic.TimedOut, -1, false, 0},
-		"a close after it": {testkit.RespondWith("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 8\r\n\r\nutil=0.5"), healthcheck.LoadRequest, logic.OK, 0.5, false, 0},
-		"nothing":          {func(c net.Conn, _ *http.Request, _ int) bool { c.Read(make([]byte, 1)); return false }, healthcheck.LoadRequest, logic.TimedOut, -1, false, 0},
+		"a report":          {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\nutil=0.5,qps=40.\n"), healthcheck.LoadRequest, logic.OK, 0.5, false, 1},
+		"a malformed one":   {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nutil=abc"), healthcheck.LoadRequest, logic.OK, -1, false, 1},
+		"health":            {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nutil=0.5"), healthcheck.HealthRequest, logic.OK, -1, false, 1},
+		"too long":          {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + string(make([]byte, 9000))), healthcheck.LoadRequest, logic.OK, -1, false, 0},
+		"a report too long": {testkit.RespondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2328\r\nutil=0.5,qps=" + strings.Repeat("0", 8987) + "\r\n0\r\n\r\n"), healthcheck.LoadRequest, logic.OK, -1, false, 0},
+		"unhealthy":         {testkit.RespondWith("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), healthcheck.LoadRequest, logic.Rejected, -1, false, 1},
+		"an error":          {testkit.RespondWith("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), healthcheck.LoadRequest, logic.Failed, -1, false, 1},
+		"not found":         {testkit.RespondWith("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"), healthcheck.LoadRequest, logic.Failed, -1, true, 1},
+		"noise":             {testkit.RespondWith("what is this"), healthcheck.LoadRequest, logic.Reset, -1, false, 0},
+		"a reset":           {resetsConnection, healthcheck.LoadRequest, logic.Reset, -1, false, 0},
+		"half a response":   {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nutil"), healthcheck.LoadRequest, logic.TimedOut, -1, false, 0},
+		"a close after it":  {testkit.RespondWith("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 8\r\n\r\nutil=0.5"), healthcheck.LoadRequest, logic.OK, 0.5, false, 0},
+		"nothing":           {func(c net.Conn, _ *http.Request, _ int) bool { c.Read(make([]byte, 1)); return false }, healthcheck.LoadRequest, logic.TimedOut, -1, false, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
