Fix: an answer within the limit is no longer cut off because its chunks are small

What callers saw: an endpoint that sends a long answer in chunks of a byte or a few had it cut off: 22 MiB in plain chunks of one byte, 7 MiB where each chunk has an extension. The client saw the cut.

Cause: a limit of 128 MiB on the response as it comes over the wire counted the framing of the chunks as if it were body.

Change: the limit is more than 32 MiB can take in the longest framing that net/http accepts (20 bytes a chunk, beyond which it ends the body itself). The body's own limit is httpmsg.LimitBody; nothing of this is held in memory.

--- a/internal/upstream/http/response.go
+++ b/internal/upstream/http/response.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	maxInterimResponses = 8                        // to one request, without a final response
-	maxHeadBytes        = 16 << 10                 // of a response, including interim ones
-	maxResponseBytes    = 4 * httpmsg.MaxBodyBytes // of a body on the wire, including the framing of its chunks
-	responsePrefix      = "HTTP/1."
+	maxInterimResponses = 8        // to one request, without a final response
+	maxHeadBytes        = 16 << 10 // of a response, including interim ones
+	// maxResponseBytes limits a body on the wire. It is more than httpmsg.MaxBodyBytes take in chunks of one byte, each with the longest
+	// framing that net/http accepts (20 bytes).
+	maxResponseBytes = 24 * httpmsg.MaxBodyBytes
+	responsePrefix   = "HTTP/1."
 )
 
 // errMalformedResponse means that the received bytes are not a valid response. The request may have run.
