Say clearly what a Sender does; one way to a connection's descriptor

No change of behavior but one: a failed write marks the answer as cut short only where one had been decided, so that the close guard (closed_unanswered) judges all other closes as before. Peek and the sender share withDescriptor.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -88,8 +88,8 @@
 	return n, err
 }
 
-// Write writes to the client for as long as the client takes what is written (Listener.StallLimit). After a write that failed the answer
-// is cut short.
+// Write writes to the client for as long as the client takes what is written (Listener.StallLimit). An answer that a failed write belongs
+// to is cut short.
 func (c *Conn) Write(p []byte) (n int, err error) {
 	if c.sender != nil {
 		n, err = c.sender.Write(p)
@@ -97,7 +97,7 @@
 		n, err = c.Conn.Write(p)
 	}
 	if err != nil {
-		c.markAnswerAborted()
+		c.writeFailed()
 	}
 	return n, err
 }
--- a/internal/connlimit/request.go
+++ b/internal/connlimit/request.go
@@ -60,15 +60,22 @@
 // MarkAnswerAborted records that the answer to the request in flight was cut short. The connection is then closed without a
 // lingering close, so that the answer does not look complete.
 func MarkAnswerAborted(ctx context.Context) {
-	if c, ok := fromContext(ctx); ok {
-		c.markAnswerAborted()
+	c, ok := fromContext(ctx)
+	if !ok {
+		return
 	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.answerAborted = true
 }
 
-func (c *Conn) markAnswerAborted() {
+// writeFailed records that a write failed. If an answer had been decided, it is cut short.
+func (c *Conn) writeFailed() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.answerAborted = true
+	if c.answerDecided {
+		c.answerAborted = true
+	}
 }
 
 // ConnectionID returns the ID that events use for the connection of a request, or 0 if the context has no connection.
--- a/internal/socket/sender.go
+++ b/internal/socket/sender.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"os"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -21,28 +20,29 @@
 	MinRate int64         // bytes per second that a peer must take while they wait, averaged over Timeout
 }
 
-// stallCheckInterval is the time between two looks at what the peer has taken while a write waits.
+// stallCheckInterval is the time between two checks of what the peer has taken while a write waits.
 const stallCheckInterval = time.Second
 
-// Sender writes to a connection for as long as its peer takes what is written. It is for one goroutine at a time.
+// Sender writes to a connection for as long as its peer takes what is written. Only one goroutine may use it at a time.
 //
 // A write deadline alone does not tell whether the peer takes anything, as it measures the kernel's send buffer: the buffer grows to some
 // megabytes, and a waiting writer is woken only when a third of it is free. A peer that reads slowly, but all the time, can take longer
-// than any stall timeout for that. While a write waits, Sender therefore looks at how many bytes the peer has acknowledged.
+// than the deadline for that. While a write waits, Sender therefore checks how many bytes the peer has acknowledged.
 //
 // The allowance for waiting is at most StallLimit.Timeout. The time for which writes wait reduces it, and each byte that the peer takes
-// restores the time that a byte takes at StallLimit.MinRate. At zero the write fails with ErrPeerStalled. So a peer that takes nothing is
-// given up after Timeout, and so is, later, one that takes a byte now and then.
+// restores the time that a byte takes at StallLimit.MinRate. At zero the write fails with ErrPeerStalled. A peer that takes nothing is
+// therefore given up after Timeout, and a peer that takes a byte now and then is given up later.
 type Sender struct {
-	// Interrupted returns the error with which a write must end early, or nil. It is called before each wait, after the write deadline has
-	// been set, so that who makes it return an error can then end the wait by a write deadline in the past. It may be nil.
+	// Interrupted returns the error with which a write must end early, or nil. It is called each time after the write deadline has been set
+	// and before the write. Another goroutine can thus end a write: it makes Interrupted return an error, and then sets a write deadline in
+	// the past. Interrupted may be nil.
 	Interrupted func() error
 
 	conn      net.Conn
 	limit     StallLimit
 	allowance time.Duration
 	written   int64 // bytes that the kernel has accepted
-	taken     int64 // of these, bytes that the peer had taken at the latest look
+	taken     int64 // of these, bytes that the peer had taken at the last check
 }
 
 // NewSender returns a Sender for a connection, which sets the write deadline of the connection as it needs.
@@ -66,7 +66,7 @@
 	}
 }
 
-// writeOnce writes until the next look is due.
+// writeOnce writes until the next check is due.
 func (s *Sender) writeOnce(p []byte) (accepted int, err error) {
 	if err := s.conn.SetWriteDeadline(time.Now().Add(stallCheckInterval)); err != nil {
 		return 0, err
@@ -79,7 +79,7 @@
 	return s.conn.Write(p)
 }
 
-// waitLonger looks at what the peer has taken, and reports whether a write that has waited for stallCheckInterval may go on waiting.
+// waitLonger checks what the peer has taken, and reports whether a write that has waited for stallCheckInterval may go on waiting.
 func (s *Sender) waitLonger() bool {
 	taken := max(s.taken, s.written-int64(unacknowledged(s.conn)))
 	restored := time.Duration(float64(taken-s.taken) / float64(s.limit.MinRate) * float64(time.Second))
@@ -91,16 +91,8 @@
 // unacknowledged returns how many of the bytes written to a connection its peer has not acknowledged. Without a socket that can tell,
 // it returns 0: then all that the connection has accepted counts as taken.
 func unacknowledged(c net.Conn) (count int) {
-	systemConn, ok := unwrap(c).(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := systemConn.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	raw.Control(func(fd uintptr) {
-		if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+	withDescriptor(c, func(descriptor int) {
+		if queued, err := unix.IoctlGetInt(descriptor, unix.SIOCOUTQ); err == nil {
 			count = queued
 		}
 	})
--- a/internal/socket/sender_test.go
+++ b/internal/socket/sender_test.go
@@ -49,7 +49,7 @@
 					_, err = sender.Write(make([]byte, 8<<10))
 				}
 				took := time.Since(began)
-				const tolerance = 2 * stallCheckInterval // a look may come just before the peer takes something
+				const tolerance = 2 * stallCheckInterval // a check may come just before the peer takes something
 				ours.Close()
 				theirs.Close()
 				switch {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -13,20 +13,26 @@
 // is waiting. If c wraps another connection and has a method NetConn that returns it, Peek uses the wrapped one. If there is no
 // socket, it returns errors.ErrUnsupported.
 func Peek(c net.Conn) (n int, err error) {
+	var peekErr error
+	err = withDescriptor(c, func(descriptor int) {
+		var one [1]byte
+		n, _, peekErr = syscall.Recvfrom(descriptor, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n, errors.Join(err, peekErr)
+}
+
+// withDescriptor calls f with the descriptor of the connection's socket, which stays open during the call. It returns
+// errors.ErrUnsupported if there is no socket.
+func withDescriptor(c net.Conn, f func(descriptor int)) error {
 	systemConn, ok := unwrap(c).(syscall.Conn)
 	if !ok {
-		return 0, errors.ErrUnsupported
+		return errors.ErrUnsupported
 	}
 	raw, err := systemConn.SyscallConn()
 	if err != nil {
-		return 0, err
+		return err
 	}
-	var peekErr error
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n, errors.Join(err, peekErr)
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
 // unwrap returns the innermost connection that c wraps, or c itself if it wraps none.
