Fix: the end of a rig's run waits until a process that was just started handles SIGTERM

Cause: Process.Stop sent SIGTERM to whatever process was there. A Go program that has not called signal.Notify yet is ended by it, and Stop reports that as a failure, which it would be of an agent that serves.

Change: Stop first waits until the present process has been ready once, and resumes a paused one for that. Its checks are as they were.

--- a/internal/processrig/process.go
+++ b/internal/processrig/process.go
@@ -41,6 +41,7 @@
 	cmd          *exec.Cmd
 	exited       chan struct{} // closed after the present process has ended and has been waited for
 	exitErr      error         // valid once exited is closed
+	hasBeenReady bool          // the present process has accepted clients, so it handles signals
 	stoppedByRig bool          // the rig has ended the present process, so Stop does not report its exit
 	earlierCPU   time.Duration // CPU time of the processes that have ended
 }
@@ -94,7 +95,7 @@
 		return fmt.Errorf("starting %s: %w", p.command[0], err)
 	}
 	p.mu.Lock()
-	p.cmd, p.exited, p.stoppedByRig = cmd, exited, false
+	p.cmd, p.exited, p.hasBeenReady, p.stoppedByRig = cmd, exited, false, false
 	p.mu.Unlock()
 	return nil
 }
@@ -134,6 +135,9 @@
 	defer cancel()
 	for {
 		ready, err := p.checkReady(timeoutCtx)
+		if ready {
+			p.recordReady(exited)
+		}
 		if ready || err != nil {
 			return err
 		}
@@ -150,6 +154,28 @@
 	}
 }
 
+// recordReady records that a process, given its exited channel, accepts clients, unless the next process has been started meanwhile.
+func (p *Process) recordReady(exited <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.exited == exited {
+		p.hasBeenReady = true
+	}
+}
+
+// awaitSignalHandling waits until the present process handles signals, which it does when it accepts clients. SIGTERM ends a process that
+// has just been started and does not handle it yet, which would look like a failure. A process that never accepts clients is waited for
+// until ReadyTimeout.
+func (p *Process) awaitSignalHandling() {
+	p.mu.Lock()
+	ready := p.hasBeenReady
+	p.mu.Unlock()
+	if !ready {
+		p.Resume()                    // a paused process does not start to accept clients
+		p.Ready(context.Background()) // if it fails, Stop reports how the process ends
+	}
+}
+
 // checkReady asks the agent once whether it accepts clients. The error is that of an invalid address.
 func (p *Process) checkReady(ctx context.Context) (bool, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Addr+"/ready", nil)
--- a/internal/processrig/signals.go
+++ b/internal/processrig/signals.go
@@ -60,9 +60,10 @@
 	}
 }
 
-// Stop ends the agent as Terminate does, and returns the total CPU time of all its processes. It returns an error if the agent had
-// already ended without being told to, exited with an error, or had to be killed.
+// Stop ends the agent as Terminate does, once it handles signals, and returns the total CPU time of all its processes. It returns an error
+// if the agent had already ended without being told to, exited with an error, or had to be killed.
 func (p *Process) Stop() (cpu time.Duration, err error) {
+	p.awaitSignalHandling()
 	cmd, exited := p.current()
 	switch {
 	case isClosed(exited):
