--- a/internal/agent/answer_limit_test.go
+++ b/internal/agent/answer_limit_test.go
@@ -59,13 +59,18 @@
 	return out.Flush() == nil && f.keeps
 }
 
-// askHTTP10 sends a request as an HTTP/1.0 client and reads the answer to its end. An HTTP/1.0 client takes the end of the connection for
-// the end of the answer, unless the connection is reset.
+// writeHTTP10Request writes a request as an HTTP/1.0 client does, which takes the end of the connection for the end of the answer, unless
+// the connection is reset.
+func writeHTTP10Request(c net.Conn) {
+	fmt.Fprintf(c, "POST /pay HTTP/1.0\r\nX-Request-ID: %016x\r\nX-Tenant-Id: lerwick-port\r\nX-Timeout: 1999m\r\nContent-Length: 0\r\n\r\n",
+		lastID.Add(1))
+}
+
+// askHTTP10 sends a request as an HTTP/1.0 client and reads the answer to its end.
 func (a *testAgent) askHTTP10(t *testing.T) (length int64, err error) {
 	t.Helper()
 	c := a.dial(t)
-	fmt.Fprintf(c, "POST /pay HTTP/1.0\r\nX-Request-ID: %016x\r\nX-Tenant-Id: lerwick-port\r\nX-Timeout: 1999m\r\nContent-Length: 0\r\n\r\n",
-		lastID.Add(1))
+	writeHTTP10Request(c)
 	in := bufio.NewReader(c)
 	for line := ""; line != "\r\n" && err == nil; {
 		line, err = in.ReadString('\n')
--- a/internal/agent/slow_reader_test.go
+++ b/internal/agent/slow_reader_test.go
@@ -30,14 +30,16 @@
 // buffer passes, because a writer that found the buffer full is woken only when a third of it is free.
 func TestSlowReaderGetsItsWholeAnswer(t *testing.T) {
 	for name, c := range map[string]struct {
-		head string
-		size int64
-		ends bool // the agent ends while the client reads
+		head   string
+		size   int64
+		http10 bool // the client speaks HTTP/1.0
+		ends   bool // the agent ends while the client reads
 	}{
-		"with a length":                  {"HTTP/1.1 200 OK\r\nContent-Length: 12582912\r\n\r\n", 12 << 20, false},
-		"HTTP/1.0":                       {"HTTP/1.0 200 OK\r\n\r\n", 12 << 20, false},
-		"written before the client read": {"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n", 1 << 20, false},
-		"written before the agent ends":  {"HTTP/1.0 200 OK\r\n\r\n", 1 << 20, true},
+		"with a length":                  {"HTTP/1.1 200 OK\r\nContent-Length: 12582912\r\n\r\n", 12 << 20, false, false},
+		"HTTP/1.0 endpoint":              {"HTTP/1.0 200 OK\r\n\r\n", 12 << 20, false, false},
+		"HTTP/1.0 on both sides":         {"HTTP/1.0 200 OK\r\n\r\n", 12 << 20, true, false},
+		"written before the client read": {"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n", 1 << 20, false, false},
+		"written before the agent ends":  {"HTTP/1.0 200 OK\r\n\r\n", 1 << 20, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -48,7 +50,11 @@
 			})
 			a := startAgent(t, testkit.NewDiscovery(t, 1, testkit.EndpointJSON("s-1", b.Addr().String(), "Ready", 0)), 0)
 			client := a.dial(t)
-			a.pay(t, "x").Write(client)
+			if c.http10 {
+				writeHTTP10Request(client)
+			} else {
+				a.pay(t, "x").Write(client)
+			}
 			resp, err := http.ReadResponse(bufio.NewReader(client), nil)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,5 +1,5 @@
-// Package socket provides socket operations that net.Conn does not offer: looking at unread data without consuming it, and setting
-// the sizes of the kernel's buffers.
+// Package socket provides socket operations that net.Conn does not offer: looking at unread data without consuming it, setting the sizes
+// of the kernel's buffers, and writing for as long as the peer takes what is written.
 package socket
 
 import (
