--- a/internal/socket/sender_test.go
+++ b/internal/socket/sender_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,11 +72,16 @@
 		ours, theirs := net.Pipe()
 		defer theirs.Close()
 		interrupted := errors.New("interrupted")
-		var reason error
+		var interrupt atomic.Bool
 		sender := NewSender(ours, testStallLimit)
-		sender.Interrupted = func() error { return reason }
+		sender.Interrupted = func() error {
+			if interrupt.Load() {
+				return interrupted
+			}
+			return nil
+		}
 		time.AfterFunc(1500*time.Millisecond, func() {
-			reason = interrupted
+			interrupt.Store(true)
 			ours.SetWriteDeadline(time.Now())
 		})
 		if n, err := sender.Write([]byte("request")); n != 0 || err != interrupted {
