--- a/internal/upstream/http/connstate.go
+++ b/internal/upstream/http/connstate.go
@@ -50,7 +50,7 @@
 // is earlier than required only costs another iteration of the loop in Read.
 const deadlineSlack = 100 * time.Millisecond
 
-// Read implements io.Reader. A pause of the endpoint is measured from the begin of the read: between two reads the endpoint may have to
+// Read implements io.Reader. A pause of the endpoint is measured from the start of the read: between two reads the endpoint may have to
 // wait for the agent, which does not read on until the client has taken what is buffered.
 func (r *deadlineReader) Read(p []byte) (int, error) {
 	var began time.Time
