--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -196,8 +196,8 @@
 	}
 }
 
-// A rejection sets a write deadline on its connection. The deadline must apply to the rejection only: if it stayed, a later answer on
-// the connection would be cut off.
+// Each write sets a write deadline on its connection (socket.Sender). The deadline must apply to that write only: if that of a rejection
+// stayed, a later answer on the connection would be cut off.
 func TestWriteDeadlineOfRejectionEndsWithIt(t *testing.T) {
 	d := testkit.NewDiscovery(t, 1, testkit.EndpointJSON("b", testkit.RefusingAddr(t), "Ready", 0))
 	a := startAgent(t, d, 0)
@@ -220,7 +220,7 @@
 	if got := exchange("GET /form-check HTTP/1.1\r\nHost: o\r\nX-Request-ID: 1\r\nX-Tenant-Id: glasgow-airport\r\nX-Timeout: 2000m\r\n"); got != http.StatusServiceUnavailable {
 		t.Fatalf("status %d", got)
 	}
-	for range 2 { // 2.2 s in all exceed the write deadline of 2 s; 1.1 s at a time stay below the idle timeout of 2.1 s
+	for range 2 { // 1.1 s at a time exceed the write deadline of 1 s and stay below the idle timeout of 2.1 s
 		time.Sleep(1100 * time.Millisecond)
 		if got := exchange("GET /ready HTTP/1.1\r\nHost: o\r\n"); got != http.StatusOK {
 			t.Errorf("status %d", got)
