Test rig: an address that refuses connections stays reserved until the test ends

Cause: RefusingAddr closed its listener and gave the port back; any test or process on the machine could listen there a moment later. The port is now held by a socket that is bound and does not listen, which refuses connects until the test ends. The checks of the tests that use it are as they were.

--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -13,6 +13,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // WaitTimeout is how long a test waits for a condition before it fails. It is generous because the machines that run tests may be busy.
@@ -48,11 +50,23 @@
 	return l
 }
 
-// RefusingAddr returns an address that refuses connections because nothing listens there.
+// RefusingAddr returns an address that refuses connections until the test ends. A socket that does not listen holds its port, so that no
+// other process or test can listen there in the meantime.
 func RefusingAddr(t *testing.T) string {
-	l := Listen(t)
-	l.Close()
-	return l.Addr().String()
+	t.Helper()
+	descriptor, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(descriptor) })
+	if err := unix.Bind(descriptor, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(descriptor)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*unix.SockaddrInet4).Port))
 }
 
 // Eventually waits until ok returns true, and fails the test if it does not within WaitTimeout. The text names the condition.
