Fix: the agent's program no longer holds the plotting library and its fonts

Callers saw: a process of 21.7 MB before its first client, of a limit of 32 MB (VmHWM when ready; 2.8 MB of it heap and stacks, 18.8 MB pages of the program). Cause: `ryeweir experiment` draws plots, so gonum/plot, fpdf and 14 fonts were in the one program; its pages are resident from the start, since the kernel maps the page cache in large pieces. Change: the report is drawn by internal/experiment/report in a program of its own, cmd/ryeweir-report, from figures.json; `ryeweir experiment` runs the one beside it, and says how to draw the report where there is none. Loss: `go run ./cmd/ryeweir experiment` writes figures.json alone and prints the command for the report; files of the report are no longer replaced atomically.

--- a/cmd/ryeweir/experiment.go
+++ b/cmd/ryeweir/experiment.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"time"
 
@@ -97,7 +98,7 @@
 		return err
 	}
 	printExperiment(out, &figures)
-	fmt.Fprintln(out, "report:", filepath.Join(options.dir, "report.html"))
+	drawReport(ctx, out, self, options.dir)
 	if figures.Unfinished || len(figures.Failures) > 0 || !figures.RulesHeld() || !figures.Passed() {
 		fmt.Fprintln(out, "experiment failed: a run was interrupted or failed, a rule was broken, or the gate failed")
 		return errReported
@@ -105,6 +106,19 @@
 	return nil
 }
 
+// reportProgram is the name of the program that draws an experiment's report. It is built beside this one.
+const reportProgram = "ryeweir-report"
+
+// drawReport draws report.html and the plots from figures.json, or says how to. self is the path of this program.
+func drawReport(ctx context.Context, out io.Writer, self, dir string) {
+	program := filepath.Join(filepath.Dir(self), reportProgram)
+	if output, err := exec.CommandContext(context.WithoutCancel(ctx), program, dir).CombinedOutput(); err != nil {
+		fmt.Fprintf(out, "the report was not drawn: %v %s; to draw it: %s %s\n", err, output, reportProgram, dir)
+		return
+	}
+	fmt.Fprintln(out, "report:", filepath.Join(dir, "report.html"))
+}
+
 // readExperiment reads an experiment's file and overrides it by the flags. The result is checked again, because a flag may make it invalid.
 func readExperiment(command *cobra.Command, file string, options experimentOptions) (*experiment.Spec, error) {
 	var spec experiment.Spec
