Fix: a head of very many short fields no longer costs the process fifteen times its bytes

Callers saw: 330 clients with heads of 1,600 short fields took an agent with a limit of 32 MB to 63 to 65 MB, and it was killed. Cause: a head is bounded in bytes (16 KiB); each field costs a place in a map, a slice and strings once net/http has parsed it. Change: the scanner below net/http (internal/framing) counts fields; what stands behind the 100th is not read, and net/http answers 400. A head over 2 KiB or 32 fields takes its cost from the budget of bodies, or is refused. Behind a length that can't be parsed the rest of the head is counted too. Loss: a request with over 100 fields gets 400.

--- a/internal/bodybuffer/budget.go
+++ b/internal/bodybuffer/budget.go
@@ -7,8 +7,8 @@
 
 // minReservation is the size, in bytes, that is granted even if the budget is exhausted.
 //
-// It prevents a deadlock of exchanges that wait for each other's buffers. The budget can be exceeded by this amount for each open
-// exchange.
+// It prevents a deadlock of exchanges that wait for each other's buffers. The budget can be exceeded by it for each
+// buffer of an open exchange; the fixed memory of a connection (package memory) has room for that.
 const minReservation = 4 << 10
 
 // NewBudget returns a budget of size bytes.
@@ -32,3 +32,20 @@
 
 // Release returns granted bytes to the budget.
 func (b *Budget) Release(granted int) { b.available.Add(int64(granted)) }
+
+// TryReserve reserves want bytes if they are available, and reports whether it did. It does not block. The caller must return the bytes with
+// Release.
+func (b *Budget) TryReserve(want int) bool {
+	for {
+		available := b.available.Load()
+		if available < int64(want) {
+			return false
+		}
+		if b.available.CompareAndSwap(available, available-int64(want)) {
+			return true
+		}
+	}
+}
+
+// Grow adds bytes to the budget; a negative number takes them away.
+func (b *Budget) Grow(bytes int64) { b.available.Add(bytes) }
--- a/internal/connlimit/closereason.go
+++ b/internal/connlimit/closereason.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"ryeweir/internal/event"
+	"ryeweir/internal/framing"
 )
 
 // recordReadError derives the close reason from an error of the server's read, and whether the client has disconnected. It does
@@ -16,6 +17,8 @@
 func (c *Conn) recordReadError(err error) {
 	switch {
 	case err == nil:
+	case errors.Is(err, framing.ErrHeadRefused):
+		c.closeReason = event.Malformed
 	case !timedOut(err):
 		c.disconnected = true
 		if c.closeReason == event.None {
--- a/internal/connlimit/readahead.go
+++ b/internal/connlimit/readahead.go
@@ -1,5 +1,11 @@
 package connlimit
 
+import (
+	"errors"
+
+	"ryeweir/internal/framing"
+)
+
 // maxReadAhead is how many bytes are read ahead on a connection. If a client sends more than that after its request and then
 // disconnects, the disconnect is detected only when the answer is written.
 const maxReadAhead = 16 << 10
@@ -46,7 +52,8 @@
 	c.listener.mu.Lock()
 	ahead := &c.readAhead
 	ahead.buffered, ahead.err = append(ahead.buffered, buffer[:read]...), err
-	disconnected := err != nil && !timedOut(err) // a timeout means that stopReadAhead interrupted the read
+	// A timeout means that stopReadAhead interrupted the read, and a refused head waits for its turn.
+	disconnected := err != nil && !timedOut(err) && !errors.Is(err, framing.ErrHeadRefused)
 	if disconnected {
 		c.recordReadError(err)
 	}
--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -2,12 +2,23 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
+
+	"ryeweir/internal/bodybuffer"
 )
 
+// ErrHeadRefused means that a message was not read on because its head has more fields than maxFields, or because the memory for a long head
+// is not there. It is the client's fault, or an effect of load, and no error of the connection.
+var ErrHeadRefused = errors.New("the head of the message has too many fields")
+
 // Listener is a listener whose connections are of type *Conn.
-type Listener struct{ net.Listener }
+type Listener struct {
+	net.Listener
+	Budget *bodybuffer.Budget // for the memory that long heads take once they are parsed; nil for no limit
+}
 
 // Accept returns the next connection, a *Conn.
 func (l Listener) Accept() (net.Conn, error) {
@@ -15,30 +26,71 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: c}, nil
+	return &Conn{Conn: c, budget: l.Budget}, nil
 }
 
 // Conn is a connection whose message boundaries are followed. As with net/http, only one goroutine reads it at a time.
 type Conn struct {
 	net.Conn
 	scanner scanner
+	refused bool // a head was refused; no more is read
+	budget  *bodybuffer.Budget
 
 	// Results of the scanner, for handlers. They are atomic because net/http may read further while a handler runs.
 	ambiguous      atomic.Bool
 	desynchronized atomic.Bool
+
+	mu       sync.Mutex // guards the fields below
+	reserved int        // bytes of the budget for the current head
+	closed   bool
 }
 
-// Read reads from the underlying connection and passes the bytes to the scanner.
+// Read reads from the underlying connection and passes the bytes to the scanner. After a head that may not be read on, it returns
+// ErrHeadRefused.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.refused {
+		return 0, ErrHeadRefused
+	}
 	n, err := c.Conn.Read(p)
-	c.scanner.scan(p[:n])
+	readable := c.scanner.scan(p[:n])
 	if c.scanner.ambiguous {
 		c.ambiguous.Store(true)
 	}
 	if c.scanner.desynchronized {
 		c.desynchronized.Store(true)
 	}
-	return n, err
+	c.refused = readable < n || !c.reserveHead(c.scanner.headCost())
+	if c.refused && readable == 0 {
+		return 0, ErrHeadRefused
+	}
+	return readable, err
+}
+
+// reserveHead makes the reservation for the current head as large as its cost, and reports whether the budget has that much. A head is held
+// until the next one begins.
+func (c *Conn) reserveHead(cost int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.budget == nil || c.closed {
+		return true
+	}
+	switch more := cost - c.reserved; {
+	case more < 0:
+		c.budget.Release(-more)
+	case more > 0 && !c.budget.TryReserve(more):
+		return false
+	}
+	c.reserved = cost
+	return true
+}
+
+// Close returns the reservation of the current head to the budget and closes the underlying connection.
+func (c *Conn) Close() error {
+	c.reserveHead(0)
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // NetConn returns the underlying connection.
--- a/internal/framing/scanner.go
+++ b/internal/framing/scanner.go
@@ -12,8 +12,10 @@
 // It detects messages that have both a length and a transfer encoding. If one parser uses the length and another the transfer
 // encoding, what one takes for the body can be, for the other, a request that nobody validated.
 //
-// When it can't parse the input, it sets desynchronized and stops. From then on no message may be read from the connection; the
-// server ensures this by closing it.
+// When it can't parse the input, it sets desynchronized and stops at the end of the head. From then on no message may be read from the
+// connection; the server ensures this by closing it.
+//
+// It also measures each head, and stops in one that has more than maxFields lines.
 type scanner struct {
 	state          state
 	ambiguous      bool   // at least one message read so far has a transfer encoding and also a length, or a version other than HTTP/1.1
@@ -22,6 +24,9 @@
 	line           []byte // the first bytes of the current line, or the last bytes of a request line
 
 	// State of the head that is being read.
+	headBytes           int
+	fields              int  // header lines, also those of trailers
+	tooManyFields       bool // more than maxFields; nothing behind them is read
 	requestLineDone     bool
 	notHTTP11           bool // the request line does not end in HTTP/1.1, so a parser may ignore a transfer encoding
 	hasLength           bool
@@ -38,6 +43,7 @@
 	inChunkSize              // in the line before a chunk, which gives its size
 	inChunkEnd               // in the line break after a chunk
 	inTrailers               // in the lines after the last chunk, up to and including the empty line
+	lost                     // the message boundaries are lost; nothing is followed any more
 )
 
 const (
@@ -47,31 +53,41 @@
 	// maxChunkBytes is the largest size of a chunk that is accepted, 1 TiB. It is far above the agent's limit on a body,
 	// httpmsg.MaxBodyBytes, so no allowed body has a larger chunk.
 	maxChunkBytes = 1 << 40
+	// maxFields is the most header lines of a message. Each field costs a parser far more memory than its bytes.
+	maxFields = 100
 )
 
-// scan processes the next bytes of the connection.
-func (s *scanner) scan(p []byte) {
-	for len(p) > 0 && !s.desynchronized {
+// scan processes the next bytes of the connection. It returns how many of them a parser may read: all, unless a head has too many fields.
+func (s *scanner) scan(p []byte) (readable int) {
+	rest := p
+	for len(rest) > 0 && s.state != lost && !s.tooManyFields {
 		if s.bodyRemaining > 0 {
-			n := min(s.bodyRemaining, int64(len(p)))
+			n := min(s.bodyRemaining, int64(len(rest)))
 			s.bodyRemaining -= n
-			p = p[n:]
+			rest = rest[n:]
 			continue
 		}
-		end := bytes.IndexByte(p, '\n')
+		end := bytes.IndexByte(rest, '\n')
 		if end < 0 {
-			s.appendToLine(p)
-			return
+			s.appendToLine(rest)
+			return len(p)
 		}
-		s.appendToLine(p[:end])
-		p = p[end+1:]
+		s.appendToLine(rest[:end])
+		rest = rest[end+1:]
 		s.endLine()
 	}
+	if s.tooManyFields {
+		return len(p) - len(rest)
+	}
+	return len(p)
 }
 
 // appendToLine adds a part of a line. It keeps the first bytes of the line, but the last bytes of a request line, because these
 // contain the HTTP version.
 func (s *scanner) appendToLine(part []byte) {
+	if s.state == inHead || s.state == inTrailers {
+		s.headBytes += len(part)
+	}
 	if s.requestLineDone {
 		s.line = append(s.line, part[:min(len(part), maxLineBytes-len(s.line))]...)
 		return
@@ -92,9 +108,19 @@
 		s.notHTTP11 = !bytes.HasSuffix(line, []byte("HTTP/1.1"))
 	case len(line) == 0:
 		s.endHead()
+		return
 	case bytes.IndexByte([]byte("CcTt"), line[0]) >= 0: // the relevant headers begin with C or T
 		s.parseHeader(line)
 	}
+	s.countField()
+}
+
+// countField counts a line of a head or of trailers.
+func (s *scanner) countField() {
+	if s.state == inHead || s.state == inTrailers {
+		s.fields++
+		s.tooManyFields = s.fields > maxFields
+	}
 }
 
 // parseHeader parses a header line.
@@ -126,6 +152,10 @@
 		next.bodyRemaining = 0
 		next.state = inChunkSize
 		next.requestLineDone = true // makes appendToLine keep the first bytes of the lines in a chunked body
+		next.headBytes, next.fields = s.headBytes, s.fields
+	}
+	if next.desynchronized {
+		next.state = lost
 	}
 	*s = next
 }
@@ -140,9 +170,12 @@
 		s.desynchronized = len(line) > 0
 	case inTrailers:
 		if len(line) == 0 {
-			s.state, s.requestLineDone = inHead, false
+			*s = scanner{ambiguous: s.ambiguous, line: s.line}
 		}
 	}
+	if s.desynchronized {
+		s.state = lost
+	}
 }
 
 // parseChunkSize parses the line that gives the size of a chunk. A line that was truncated to maxLineBytes is not trusted.
@@ -158,3 +191,16 @@
 		s.state, s.bodyRemaining = inChunkEnd, int64(size)
 	}
 }
+
+// What a head costs once it is parsed. The fixed memory of a connection covers a head of ordinary size.
+const (
+	ordinaryHeadBytes = 2 << 10
+	ordinaryFields    = 32
+	bytesPerHeadByte  = 2   // the text as it was read, and as it is forwarded
+	bytesPerField     = 160 // its place in a map, a slice and its strings
+)
+
+// headCost returns the memory that the current head takes beyond one of ordinary size, in bytes.
+func (s *scanner) headCost() int {
+	return max(0, s.headBytes-ordinaryHeadBytes)*bytesPerHeadByte + max(0, s.fields-ordinaryFields)*bytesPerField
+}
--- a/internal/framing/scanner_test.go
+++ b/internal/framing/scanner_test.go
@@ -1,8 +1,12 @@
 package framing
 
 import (
+	"errors"
+	"net"
 	"strings"
 	"testing"
+
+	"ryeweir/internal/bodybuffer"
 )
 
 // A client sends a message with a length and a transfer encoding, so that two parsers split it differently. The scanner must
@@ -81,3 +85,86 @@
 		}
 	}
 }
+
+// Failure: a head of 1,600 short fields cost its parser 200 KB. What is readable of a message must end with the field over the limit, for
+// pieces of any size, also in trailers, in a second message and behind a length that can't be parsed; bodies are not counted.
+func TestFieldsOverTheLimitAreNotReadable(t *testing.T) {
+	fields := strings.Repeat("a: b\r\n", maxFields+50)
+	for name, c := range map[string]struct {
+		text    string
+		refused bool
+	}{
+		"in a head":               {"GET / HTTP/1.1\r\n" + fields, true},
+		"in a second head":        {"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nxGET / HTTP/1.1\r\n" + fields, true},
+		"in trailers":             {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + fields, true},
+		"behind a malformed line": {"GET / HTTP/1.1\r\nContent-Length: x\r\n" + fields, true},
+		"in a body":               {"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + fields, false},
+		"few":                     {"GET / HTTP/1.1\r\n" + strings.Repeat("a: b\r\n", maxFields/2) + "\r\n", false},
+	} {
+		for size := 1; size <= len(c.text); size = size*2 + 1 {
+			var s scanner
+			readable := 0
+			for rest := c.text; rest != "" && !s.tooManyFields; {
+				n := min(size, len(rest))
+				readable += s.scan([]byte(rest[:n]))
+				rest = rest[n:]
+			}
+			if s.tooManyFields != c.refused || !c.refused && readable != len(c.text) {
+				t.Errorf("%s, in pieces of %d bytes: too many is %v, %d of %d bytes readable", name, size, s.tooManyFields, readable, len(c.text))
+			}
+			if c.refused && strings.Count(c.text[:readable], "\n") > maxFields+5 {
+				t.Errorf("%s, in pieces of %d bytes: %d lines readable", name, size, strings.Count(c.text[:readable], "\n"))
+			}
+		}
+	}
+}
+
+// A head over the ordinary size must take its cost from the budget, give it back with the next message or the connection, and be refused if
+// the budget has no room.
+func TestLongHeadsTakeTheirCostFromTheBudget(t *testing.T) {
+	const budgetBytes = 100 << 10
+	long := "GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 8000) + "\r\n"
+	budget := bodybuffer.NewBudget(budgetBytes)
+	free := func() int {
+		granted := budget.Reserve(2 * budgetBytes)
+		budget.Release(granted)
+		return granted
+	}
+	read := func(c *Conn, text string) error {
+		reader := strings.NewReader(text)
+		c.Conn = readerConn{c.Conn, reader}
+		for reader.Len() > 0 {
+			if _, err := c.Read(make([]byte, 4096)); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	server, client := net.Pipe()
+	defer client.Close()
+	first := &Conn{Conn: server, budget: budget}
+	if err := read(first, long); err != nil || free() >= budgetBytes {
+		t.Errorf("%d bytes free while a long head is held, %v", free(), err)
+	}
+	if err := read(first, "\r\nGET / HTTP/1.1\r\n"); err != nil || free() != budgetBytes {
+		t.Errorf("%d bytes free after the next message has begun, %v", free(), err)
+	}
+	read(first, "\r\n"+long)
+	first.Close()
+	if free() != budgetBytes {
+		t.Errorf("%d bytes free after the connection was closed", free())
+	}
+	taken := budget.Reserve(budgetBytes - 1000)
+	defer budget.Release(taken)
+	if err := read(&Conn{Conn: server, budget: budget}, long+long); !errors.Is(err, ErrHeadRefused) {
+		t.Errorf("a long head without room in the budget: %v", err)
+	}
+}
+
+// readerConn is a connection that reads from a reader.
+type readerConn struct {
+	net.Conn
+	reader *strings.Reader
+}
+
+func (c readerConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
