Fix: a request that waits to be read is no longer closed unread for another client

Cause: eviction took the connection with the oldest activity, which was the one whose request waited in the kernel; and Go's read returns the deadline of the requested close, not the bytes that wait. Change: no connection with unread bytes is evicted, nor one that is younger than 100 ms while its request is read; Accept waits meanwhile. A close that meets unread bytes is withdrawn. A connection on which only the rest of a rejected upload is discarded may be evicted. Loss: an accept may wait for 100 ms longer under a crowd.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -15,12 +15,14 @@
 	listener *Listener
 	id       uint64 // of the connection, in events
 
-	activity     activity
-	lastActivity time.Time // when the activity began or, while a request is read, when its latest bytes arrived
-	hadRequest   bool      // a handler has accepted a request on this connection
-	readDeadline time.Time // as set by the server or by bytesReceived; not in force while a close is pending
-	readAhead    readAhead
-	sender       *socket.Sender // nil if writes have no stall limit
+	activity       activity
+	activityBegan  time.Time
+	lastActivity   time.Time // when the activity began or, while a request is read, when its latest bytes arrived
+	protectedUntil time.Time // not evicted before this time, because its bytes are about to be read
+	hadRequest     bool      // a handler has accepted a request on this connection
+	readDeadline   time.Time // as set by the server or by bytesReceived; not in force while a close is pending
+	readAhead      readAhead
+	sender         *socket.Sender // nil if writes have no stall limit
 
 	// State of the request in flight.
 	requestID     string // empty if there is none
@@ -42,6 +44,7 @@
 	idle            activity = iota // no request has begun
 	readingRequest                  // a request has begun, but no handler has accepted it
 	requestInFlight                 // a handler has accepted a request, and its answer has not been written completely
+	discarding                      // the answer has been written, and what the client still sends of its request is discarded
 )
 
 // aLongTimeAgo is a deadline in the past, which interrupts a read. net/http uses the same time to abort its background read.
@@ -108,13 +111,23 @@
 		c.listener.mu.Unlock()
 		n, err = c.Conn.Read(p)
 		c.listener.mu.Lock()
-		if !c.shouldRetryBackgroundRead(p, err) {
+		switch {
+		case c.shouldRetryBackgroundRead(p, err):
+			c.Conn.SetReadDeadline(time.Time{})
+		case timedOut(err) && c.closePending && unread(c.Conn):
+			c.cancelClose() // what arrived before the close took effect may be a request
+		default:
 			return n, err
 		}
-		c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
+// unread reports whether bytes of the client wait to be read. It returns false if c has no socket, because that can't be detected then.
+func unread(c net.Conn) bool {
+	n, err := socket.Peek(c)
+	return n > 0 && err == nil
+}
+
 // isBackgroundRead reports whether a read into p is net/http's background read, which detects a client disconnect while a handler
 // runs. It is the only read with a buffer of one byte.
 func isBackgroundRead(p []byte) bool { return len(p) == 1 }
@@ -129,6 +142,9 @@
 
 // bytesReceived updates the state after a read that returned bytes. The lock must be held.
 func (c *Conn) bytesReceived() {
+	if c.activity == discarding {
+		return
+	}
 	c.cancelClose()
 	if c.activity == requestInFlight {
 		if c.readAhead.onDisconnect != nil {
@@ -140,7 +156,15 @@
 		c.readDeadline = time.Now().Add(c.listener.HeaderTimeout)
 		c.Conn.SetReadDeadline(c.readDeadline)
 	}
-	c.activity, c.lastActivity = readingRequest, time.Now()
+	c.enter(readingRequest)
+}
+
+// enter records an activity, and when it began or continued. The lock must be held.
+func (c *Conn) enter(next activity) {
+	c.lastActivity = time.Now()
+	if c.activity != next || next == requestInFlight {
+		c.activity, c.activityBegan = next, c.lastActivity
+	}
 }
 
 // setActivity sets the activity and cancels a pending close.
@@ -148,7 +172,7 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.cancelClose()
-	c.activity, c.lastActivity = next, time.Now()
+	c.enter(next)
 	if next == requestInFlight {
 		c.hadRequest = true
 		return
--- a/internal/connlimit/disconnect_test.go
+++ b/internal/connlimit/disconnect_test.go
@@ -12,7 +12,6 @@
 
 	"ryeweir/internal/event"
 	"ryeweir/internal/framing"
-	"ryeweir/internal/socket"
 	"ryeweir/internal/testkit"
 )
 
@@ -79,7 +78,7 @@
 // A client disconnects before OnDisconnect is called for its request. watchDisconnect detects this through all wrappers of the
 // connection and reports it, so that no attempt is made for that client.
 func TestEarlierDisconnectIsReportedAtOnce(t *testing.T) {
-	l := New(framing.Listener{Listener: socket.Listener{Listener: testkit.Listen(t)}}, 1)
+	l := New(framing.Listener{Listener: testkit.Listen(t)}, 1)
 	c, client := acceptPair(t, l)
 	client.Close()
 	testkit.Eventually(t, "the client's close is visible", func() bool { return closedByPeer(c) })
--- a/internal/connlimit/doc.go
+++ b/internal/connlimit/doc.go
@@ -13,8 +13,8 @@
 //	  └──────────────────┴────────── Close ────────┘──▶ lingering close ──▶ closed
 //
 // net/http reports through ConnState that a connection is idle or active. Handlers report the rest through the request's context,
-// which ConnContext prepares: BeginRequest when they have accepted a request, BeginAnswer when its answer has been decided, and
-// MarkAnswerAborted when the answer was cut short, as it also is by a write that fails. If a handler does not call BeginRequest, as for a
+// which ConnContext prepares: BeginRequest when they have accepted a request, BeginAnswer when its answer has been decided, BeginDiscard
+// when it has been written before the end of the request and the rest is discarded, and MarkAnswerAborted when the answer was cut short, as it also is by a write that fails. If a handler does not call BeginRequest, as for a
 // readiness check or an invalid request, the connection stays in the reading state until net/http reports it idle or closes it.
 //
 // # Closing a connection
--- a/internal/connlimit/eviction.go
+++ b/internal/connlimit/eviction.go
@@ -9,20 +9,31 @@
 // Eviction decides which connection is closed for a new one when all slots are taken.
 //
 // Connections in a lingering close are evicted first, then silent ones, then idle ones, then those whose request is still being
-// read. Within a rank the connection with the oldest activity is evicted. A connection with a request in flight is never evicted.
-// The decision depends on each connection's activity, whether a handler ever accepted a request on it, and the time since its
-// last activity.
+// read. Within a rank the connection with the oldest activity is evicted. A connection with a request in flight is never evicted, nor one
+// with bytes that have not been read, nor one that has had no time to send its request. The decision depends on each connection's activity,
+// whether a handler ever accepted a request on it, and the times of its activity.
 //
-// This guards against clients that hold all slots without sending a request, so that new clients can't connect.
+// This guards against clients that hold all slots without sending a request, so that new clients can't connect. A crowd that comes back as
+// soon as it is evicted would evict those who send their requests at once as well, before their requests are read. Accept rather waits.
 
 // firstRequestGrace is how long a connection that has not had a valid request may be inactive before it counts as silent.
 const firstRequestGrace = 250 * time.Millisecond
 
+// Protection of connections whose request is being read.
+const (
+	// requestGrace is how long the client of a connection has to send a request before it may be evicted for others.
+	requestGrace = 100 * time.Millisecond
+	// unreadGrace is how long a connection with unread bytes is left alone, so that they are read.
+	unreadGrace = 20 * time.Millisecond
+	// evictionInterval is the time between two searches for a connection to evict while there is none.
+	evictionInterval = 5 * time.Millisecond
+)
+
 // evictionRank orders connections for eviction; the lowest rank is evicted first.
 type evictionRank int
 
 const (
-	rankClosing evictionRank = iota // in a lingering close: its answer has been written
+	rankClosing evictionRank = iota // in a lingering close, or discarding: its answer has been written
 	rankSilent                      // has had no valid request, and has been inactive for longer than firstRequestGrace
 	rankIdle                        // idle after a request
 	rankReading                     // a request is being read, or the connection is new
@@ -34,17 +45,37 @@
 	for len(l.conns) >= l.maxConnections && !l.closed {
 		if c := l.evictionCandidate(); c != nil {
 			c.evict()
+			l.capacityFreed.Wait()
+			continue
 		}
+		retry := time.AfterFunc(evictionInterval, l.capacityFreed.Broadcast)
 		l.capacityFreed.Wait()
+		retry.Stop()
 	}
 	return len(l.conns) < l.maxConnections
 }
 
 // evictionCandidate returns the connection to evict next, or nil if no connection may be evicted. The lock must be held.
-func (l *Listener) evictionCandidate() (candidate *Conn) {
-	now := time.Now()
+func (l *Listener) evictionCandidate() *Conn {
+	for {
+		now := time.Now()
+		candidate := l.leastUseful(now)
+		switch {
+		case candidate == nil || candidate.closing:
+			return candidate
+		case candidate.evictionRank(now) == rankReading && now.Sub(candidate.activityBegan) < requestGrace:
+			return nil
+		case !unread(candidate.Conn):
+			return candidate
+		}
+		candidate.protectedUntil = now.Add(unreadGrace)
+	}
+}
+
+// leastUseful returns the first connection in the order of eviction, or nil if no connection may be evicted. The lock must be held.
+func (l *Listener) leastUseful(now time.Time) (candidate *Conn) {
 	for c := range l.conns {
-		if c.evictable() && (candidate == nil || c.evictedBefore(candidate, now)) {
+		if c.evictable(now) && (candidate == nil || c.evictedBefore(candidate, now)) {
 			candidate = c
 		}
 	}
@@ -52,11 +83,11 @@
 }
 
 // evictable reports whether the connection may be evicted, and is not already being evicted. The lock must be held.
-func (c *Conn) evictable() bool {
+func (c *Conn) evictable(now time.Time) bool {
 	if c.evicting {
 		return false
 	}
-	return c.activity != requestInFlight || c.closing
+	return c.closing || c.activity != requestInFlight && now.After(c.protectedUntil)
 }
 
 // evictedBefore reports whether c is evicted before other. The lock must be held.
@@ -71,7 +102,7 @@
 // evictionRank returns the rank of an evictable connection. The lock must be held.
 func (c *Conn) evictionRank(now time.Time) evictionRank {
 	switch {
-	case c.closing:
+	case c.closing, c.activity == discarding:
 		return rankClosing
 	case !c.hadRequest && now.Sub(c.lastActivity) > firstRequestGrace:
 		return rankSilent
--- a/internal/connlimit/eviction_test.go
+++ b/internal/connlimit/eviction_test.go
@@ -90,6 +90,34 @@
 	}
 }
 
+// Failure: a crowd that comes back as soon as it is evicted closed the connections of those who had just sent their requests, unread. A
+// connection whose bytes wait to be read must not be evicted, and one on which a request arrives as its close is requested stays open.
+func TestRequestThatIsNotReadYetIsNotEvicted(t *testing.T) {
+	l := New(testkit.Listen(t), 1)
+	waiting, client := acceptPair(t, l)
+	io.WriteString(client, "G")
+	testkit.Eventually(t, "the byte has arrived", func() bool { return unread(waiting) })
+	l.mu.Lock()
+	waiting.activityBegan = waiting.activityBegan.Add(-time.Hour)
+	candidate := l.evictionCandidate()
+	waiting.evict() // as if the byte had arrived just after the search
+	l.mu.Unlock()
+	if candidate != nil {
+		t.Error("a connection with unread bytes is evicted")
+	}
+	if n, err := waiting.Read(make([]byte, 2)); n != 1 || err != nil {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if waiting.closePending {
+		t.Error("the close is still pending after a byte was read")
+	}
+	if l.evictionCandidate() != nil {
+		t.Error("a connection that has just begun to send its request is evicted")
+	}
+}
+
 // A slot is needed just after a request has been read, before the handler calls BeginRequest. The request must continue: neither
 // the close that was requested nor the read that it interrupts may be taken for a client disconnect.
 func TestEvictionDoesNotCancelARequestThatJustBegan(t *testing.T) {
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -24,9 +24,8 @@
 	// Monitor counts connections that are closed while a request has no answer. It may be nil; a nil Monitor does nothing.
 	Monitor *invariant.Monitor
 
-	maxConnections int
-
 	mu              sync.Mutex // guards the fields below, and the state of each Conn
+	maxConnections  int
 	capacityFreed   *sync.Cond // signaled when a slot is free, or when a connection that could not be evicted before can be
 	closed          bool
 	lastAccept      time.Time
@@ -41,6 +40,14 @@
 	return l
 }
 
+// SetMaxConnections changes the limit on open connections. Those over a lower limit stay open until Accept evicts them.
+func (l *Listener) SetMaxConnections(limit int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxConnections = limit
+	l.capacityFreed.Broadcast()
+}
+
 // Accept returns the next connection, a *Conn. If all slots are taken, it evicts a connection and waits until a slot is free. If
 // Close is called before a slot is free, it closes the new connection and returns net.ErrClosed. A connection that
 // was taken from the inner listener before Close and finds a free slot is still returned. Errors of the inner listener are returned as
@@ -56,7 +63,8 @@
 		raw.Close()
 		return nil, net.ErrClosed
 	}
-	c := &Conn{Conn: raw, listener: l, lastActivity: time.Now(), id: l.Events.NextConnectionID()}
+	now := time.Now()
+	c := &Conn{Conn: raw, listener: l, activityBegan: now, lastActivity: now, id: l.Events.NextConnectionID()}
 	if l.StallLimit.Timeout > 0 {
 		c.sender = socket.NewSender(raw, l.StallLimit)
 	}
@@ -124,7 +132,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		if c.activity == requestInFlight || c.closing {
+		if c.activity == requestInFlight || c.activity == discarding || c.closing {
 			count++
 		}
 	}
--- a/internal/connlimit/request.go
+++ b/internal/connlimit/request.go
@@ -57,6 +57,14 @@
 	c.answerDecided = true
 }
 
+// BeginDiscard records that the answer to the request in flight has been written, and that what the client still sends of the request is
+// read and discarded. The connection may be evicted from then on.
+func BeginDiscard(ctx context.Context) {
+	if c, ok := fromContext(ctx); ok {
+		c.setActivity(discarding)
+	}
+}
+
 // MarkAnswerAborted records that the answer to the request in flight was cut short. The connection is then closed without a
 // lingering close, so that the answer does not look complete.
 func MarkAnswerAborted(ctx context.Context) {
--- a/internal/front/http/answer.go
+++ b/internal/front/http/answer.go
@@ -73,6 +73,7 @@
 // whole body before it reads would find the connection closed and would not see the answer.
 func (x *exchange) discardUpload(control *http.ResponseController) {
 	control.Flush()
+	connlimit.BeginDiscard(x.ctx)
 	x.upload.Drain()
 }
 
