Fix: all memory that clients can make an agent hold is planned below the limit

Cause: only bodies were on a budget. Connections followed from descriptors alone, the runtime's limit from a fixed fraction, kernel buffers from nothing (the send buffer grows to 4 MB a connection); a buffered body of its exact length was doubled by bytes.Buffer at its end (64 -> 131 KB); each streamed upload had 64 KB beside the budget; an upgrade halved everything, whether a second process was there or not. Change: internal/memory divides the limit: pages of the program (read at the start), the runtime's base, kernel buffers of all connections in both directions, the fixed part of connections and of requests in flight with room for the collector, and the rest for long heads and bodies. Body buffers never exceed their reservation; the upload's write buffer comes from the budget. Uploads over the limit on requests in flight are rejected before their body is read. Which process of an upgrade came first is a lock in $TMPDIR: the first takes three quarters of the clients' part, the second the rest, and all when the first has ended. Losses: at 32 MB 137 clients' connections alone and 66 on an inherited socket (545 and 496 by descriptors before); beside a crowd of 330 a client that behaves may wait for 1 to 3 s for its accept. At 192 MB and 1,024 descriptors 383 clients' connections instead of 496 on an inherited socket, and kernel buffers of 32 KiB instead of up to 6 MB. SocketBufferBytes of the frontend went; operators' sizes hold as before. The test of socket.Listener went with it: TestShapedConnectionsAreBoundedAndDoNotStall holds sizes on both sides and that nothing stalls.

--- a/cmd/ryeweir/agent.go
+++ b/cmd/ryeweir/agent.go
@@ -18,6 +18,7 @@
 	"ryeweir/internal/config/platform"
 	"ryeweir/internal/handover"
 	"ryeweir/internal/logwriter"
+	"ryeweir/internal/memory"
 )
 
 // gcPercent is the garbage collector's GOGC value if the environment sets none: the heap may grow to five times the live data before a
@@ -25,10 +26,6 @@
 // limit takes precedence.
 const gcPercent = 400
 
-// heapFraction is the fraction of the platform's memory limit that the Go runtime may use. The rest is for the buffers of sockets and
-// files, which count against the limit too.
-const heapFraction = 0.6
-
 func agentCommand(log *logFlags) *cobra.Command {
 	var operatorFile string
 	var peerOptions peerFlags
@@ -112,23 +109,22 @@
 	if err != nil {
 		return err
 	}
+	env.OnPlan = limitRuntime
 	change(&env)
 	return agent.Run(ctx, config, operators, reloadConfig(hangups, operatorFile, peers), env, log.With("agent", config.Name))
 }
 
-// limitProcess limits the Go runtime to the processors and the memory that the platform grants.
+// limitProcess limits the Go runtime to the processors that the platform grants.
 func limitProcess(config platform.Config) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(config.Cores))))
-	memory := heapFraction * float64(config.MemoryMB<<20)
-	if handover.Inherits(os.Getenv) {
-		memory /= 2 // during a handover two processes share the limit
-	}
-	debug.SetMemoryLimit(int64(memory))
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
 }
 
+// limitRuntime limits the Go runtime to the memory that a plan leaves to it.
+func limitRuntime(plan memory.Plan) { debug.SetMemoryLimit(plan.Runtime) }
+
 // listen opens the listeners for clients and operators, and returns them as the agent's environment.
 func listen(config platform.Config) (env agent.Environment, err error) {
 	if env.Clients, env.Inherited, err = handover.Listen(os.Getenv, config.Listen); err != nil {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ryeweir/internal/bodybuffer"
@@ -16,8 +17,10 @@
 	"ryeweir/internal/discovery"
 	"ryeweir/internal/event"
 	fronthttp "ryeweir/internal/front/http"
+	"ryeweir/internal/handover"
 	"ryeweir/internal/healthcheck"
 	"ryeweir/internal/invariant"
+	"ryeweir/internal/memory"
 	"ryeweir/internal/metrics"
 	"ryeweir/internal/pool"
 	"ryeweir/internal/snapshot"
@@ -37,6 +40,9 @@
 	Dial      pool.DialFunc    // connects to endpoints and to discovery; nil selects the machine's network
 	TimeOfDay func() time.Time // returns the wall-clock time; nil selects the machine's clock
 	Disk      snapshot.Disk    // stores the snapshot; nil selects the machine's file system
+
+	// OnPlan is called when the memory of the process has been divided, and again when the division changes. It may be nil.
+	OnPlan func(memory.Plan)
 }
 
 // Run builds an agent and serves clients until ctx ends. It then drains, and returns when every goroutine that it started has ended.
@@ -63,11 +69,14 @@
 	env       Environment
 	log       *slog.Logger
 
-	clock       core.Clock
-	events      *event.Recorder
-	monitor     *invariant.Monitor
-	metrics     *metrics.Metrics
-	connections connectionLimits
+	clock   core.Clock
+	events  *event.Recorder
+	monitor *invariant.Monitor
+	metrics *metrics.Metrics
+
+	role  memory.Role
+	plan  atomic.Pointer[memory.Plan] // in force
+	claim *handover.Claim             // nil while another process holds it, or if the listener is not inherited
 
 	balancer      *logic.Balancer
 	snapshots     snapshot.File
@@ -107,6 +116,7 @@
 		})
 	}
 	running.Go(func() { a.newReloader(reload).run(background) })
+	running.Go(func() { a.succeed(background) })
 }
 
 // serveControl serves HTTP requests on the operators' address until ctx ends. If that fails, the agent continues without it.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	fronthttp "ryeweir/internal/front/http"
+	"ryeweir/internal/memory"
 	"strings"
 	"sync"
 	"testing"
@@ -147,7 +148,7 @@
 		limits := limitConnections(limit, Environment{})
 		if to, from := limits.toEndpoints, limits.fromClients; to < 1 || from < 1 || to+from > limit-reservedDescriptors {
 			t.Errorf("limit %d: %d connections to endpoints, %d from clients", limit, to, from)
-		} else if third := limit / 3; to < third || float64(from)*fronthttp.MaxInFlightFraction < float64(third) {
+		} else if third, inFlight := limit/3, planMemory(platform.Config{MaxDescriptors: limit, MemoryMB: 2048}, operator.File{}, Environment{}, memory.Alone).InFlight; to < third || inFlight < third {
 			t.Errorf("limit %d: less than a third of it is for connections to endpoints, or for requests in flight", limit)
 		}
 		control := testkit.Listen(t)
--- a/internal/agent/build.go
+++ b/internal/agent/build.go
@@ -18,13 +18,11 @@
 	"ryeweir/internal/invariant"
 	"ryeweir/internal/metrics"
 	"ryeweir/internal/pool"
+	"ryeweir/internal/socket"
 	upstreamhttp "ryeweir/internal/upstream/http"
 	"ryeweir/logic"
 )
 
-// bodyMemoryFraction is the fraction of the agent's memory that buffers for the bodies of requests and responses may fill together.
-const bodyMemoryFraction = 0.2
-
 // newAgent builds all subsystems in the order that the package comment gives. It starts none of them, except that peers begin to
 // listen.
 func newAgent(cfg platform.Config, operators operator.File, env Environment, log *slog.Logger) (*agent, error) {
@@ -32,17 +30,18 @@
 		env.TimeOfDay = time.Now
 	}
 	a := &agent{
-		config:      cfg,
-		operators:   operators,
-		env:         env,
-		log:         log,
-		clock:       core.NewClockWith(env.TimeOfDay),
-		events:      event.NewRecorder(log),
-		monitor:     invariant.NewMonitor(log),
-		metrics:     metrics.New(classNames(cfg)),
-		connections: limitConnections(cfg.MaxDescriptors, env),
-		bodies:      bodybuffer.NewBudget(bodyMemory(cfg, env)),
-	}
+		config:    cfg,
+		operators: operators,
+		env:       env,
+		log:       log,
+		clock:     core.NewClockWith(env.TimeOfDay),
+		events:    event.NewRecorder(log),
+		monitor:   invariant.NewMonitor(log),
+		metrics:   metrics.New(classNames(cfg)),
+	}
+	a.role = a.takeRole()
+	a.applyPlan(planMemory(cfg, operators, env, a.role))
+	a.bodies = bodybuffer.NewBudget(a.plan.Load().Elastic)
 	stages := []func() error{
 		a.buildBalancer,
 		a.buildUpstream,
@@ -82,13 +81,17 @@
 // buildUpstream builds the connection pool, the upstream, which sends attempts on its connections, and the health checker.
 func (a *agent) buildUpstream() error {
 	var err error
+	dial := a.env.Dial
+	if dial == nil {
+		dial = socket.Dialer(a.plan.Load().SocketBuffer).DialContext
+	}
 	a.pool, err = pool.New(pool.Config{
 		Settings:          a.poolSettings(a.operators),
 		SocketBufferBytes: a.operators.Connections.SocketBufferBytes,
 		ConnectTimeout:    a.config.Site.ConnectTimeout,
 		Seed:              a.config.Seed,
 		Clock:             a.clock,
-		Dial:              a.env.Dial,
+		Dial:              dial,
 		NewState:          upstreamhttp.NewConnState,
 		Events:            a.events,
 	})
@@ -184,18 +187,18 @@
 // buildFront builds the HTTP server for clients.
 func (a *agent) buildFront() error {
 	a.front = fronthttp.New(fronthttp.Config{
-		Site:              a.config.Site,
-		Core:              a.core,
-		Clock:             a.clock,
-		Metrics:           a.metrics,
-		BodyBudget:        a.bodies,
-		MaxConnections:    a.connections.fromClients,
-		AcceptWindow:      a.config.AcceptWindow,
-		DrainTimeout:      a.operators.Drain.MaxDuration.D(),
-		SocketBufferBytes: a.operators.Connections.SocketBufferBytes,
-		Log:               a.log,
-		Events:            a.events,
-		Monitor:           a.monitor,
+		Site:           a.config.Site,
+		Core:           a.core,
+		Clock:          a.clock,
+		Metrics:        a.metrics,
+		BodyBudget:     a.bodies,
+		MaxConnections: a.plan.Load().ClientConnections,
+		MaxInFlight:    a.plan.Load().InFlight,
+		AcceptWindow:   a.config.AcceptWindow,
+		DrainTimeout:   a.operators.Drain.MaxDuration.D(),
+		Log:            a.log,
+		Events:         a.events,
+		Monitor:        a.monitor,
 	})
 	return nil
 }
@@ -219,7 +222,7 @@
 // poolSettings returns the settings of the pool. Values in the operators' file override those that follow from the platform's
 // settings and from the limits of the process.
 func (a *agent) poolSettings(operators operator.File) pool.Settings {
-	settings := pool.DefaultSettings(a.connections.toEndpoints)
+	settings := pool.DefaultSettings(a.plan.Load().EndpointConnections)
 	settings.ServerIdleTimeout = a.config.Site.IdleTimeout
 	settings.AcquireTimeout = a.config.Site.ConnectTimeout
 	settings.Agents = a.config.Site.Logic.Balancers
@@ -245,16 +248,3 @@
 	}
 	return names
 }
-
-// memoryLimit returns the limit that the platform sets on the agent's memory, in bytes.
-func memoryLimit(cfg platform.Config) int64 { return int64(cfg.MemoryMB) << 20 }
-
-// bodyMemory returns the limit on the agent's body buffers, in bytes. It is halved in a handover, in which two processes share the
-// memory.
-func bodyMemory(cfg platform.Config, env Environment) int64 {
-	memory := bodyMemoryFraction * float64(memoryLimit(cfg))
-	if env.Inherited {
-		memory /= 2
-	}
-	return int64(memory)
-}
--- a/internal/config/operator/connections.go
+++ b/internal/config/operator/connections.go
@@ -30,7 +30,7 @@
 	PreopenRate               float64         `toml:"ahead_per_second"`      // connections per second to one endpoint by all agents; 0 disables
 	PreopenMaxIdle            int             `toml:"ahead_most"`            // upper bound on idle connections of one agent to one endpoint that it preopens
 	PreopenMinIdle            int             `toml:"ahead_keep"`            // lower bound on them, at any request rate
-	SocketBufferBytes         int             `toml:"socket_buffer_bytes"`   // per direction; 0 uses the kernel's default; takes effect at the next start
+	SocketBufferBytes         int             `toml:"socket_buffer_bytes"`   // per direction; 0 lets it follow from the memory limit; takes effect at the next start
 }
 
 // Actions for the older connections of an endpoint after failed exchanges.
--- a/internal/front/http/config.go
+++ b/internal/front/http/config.go
@@ -24,17 +24,13 @@
 	Events  *event.Recorder    // records the events of requests and client connections; may be nil
 	Monitor *invariant.Monitor // counts invariant violations; may be nil
 
-	BodyBudget        *bodybuffer.Budget // limits the memory for request bodies
-	MaxConnections    int                // limits the open client connections
-	SocketBufferBytes int                // of each kernel socket buffer, send and receive, per connection; 0 keeps the kernel's default
-	AcceptWindow      time.Duration      // how long new connections are accepted after the termination signal
-	DrainTimeout      time.Duration      // for requests in flight and streams after the termination signal; 0 selects the platform's limits
+	BodyBudget     *bodybuffer.Budget // limits the memory for request bodies and long heads
+	MaxConnections int                // limits the open client connections; see SetLimits
+	MaxInFlight    int                // limits the requests in flight; more are shed at once
+	AcceptWindow   time.Duration      // how long new connections are accepted after the termination signal
+	DrainTimeout   time.Duration      // for requests in flight and streams after the termination signal; 0 selects the platform's limits
 }
 
-// MaxInFlightFraction is the fraction of MaxConnections that may have a request in flight. Requests on the remaining connections
-// are shed at once.
-const MaxInFlightFraction = 0.8
-
 // DrainMargin is how long a drain may continue after the longest request deadline that it waits for.
 const DrainMargin = 50 * time.Millisecond
 
--- a/internal/front/http/exchange.go
+++ b/internal/front/http/exchange.go
@@ -106,7 +106,7 @@
 // admit counts the request as in flight. It returns false if too many requests are in flight.
 func (x *exchange) admit() bool {
 	x.counted = true
-	return x.server.inFlight.Add(1) <= x.server.maxInFlight
+	return x.server.inFlight.Add(1) <= x.server.maxInFlight.Load()
 }
 
 // shed rejects the request because too many are in flight. No attempt was made and no endpoint has executed the request, so the
--- a/internal/front/http/exchange_test.go
+++ b/internal/front/http/exchange_test.go
@@ -11,7 +11,7 @@
 // request would be answered.
 func TestRequestOverTheLimitIsShedAtOnce(t *testing.T) {
 	s, r := newServer(t, http.MethodGet, "/form-check", "")
-	s.maxInFlight = 1
+	s.maxInFlight.Store(1)
 	s.inFlight.Store(1)
 	w := httptest.NewRecorder()
 	s.ServeHTTP(w, r)
@@ -30,7 +30,7 @@
 		s, r := newServer(t, http.MethodPost, "/refund-record", strings.Repeat("x", 9000))
 		stopCore := startCore(t, s)
 		if overLimit {
-			s.inFlight.Store(s.maxInFlight)
+			s.inFlight.Store(s.maxInFlight.Load())
 		}
 		w := newRecorder()
 		s.ServeHTTP(w, r)
--- a/internal/front/http/helpers_test.go
+++ b/internal/front/http/helpers_test.go
@@ -35,6 +35,7 @@
 		Metrics:        metrics.New(make([]string, 3)),
 		BodyBudget:     bodybuffer.NewBudget(bodyBudget),
 		MaxConnections: 10,
+		MaxInFlight:    8,
 		Log:            log,
 		Events:         event.NewRecorder(log),
 	})
--- a/internal/front/http/serve.go
+++ b/internal/front/http/serve.go
@@ -10,7 +10,6 @@
 	"ryeweir/internal/connlimit"
 	"ryeweir/internal/framing"
 	"ryeweir/internal/invariant"
-	"ryeweir/internal/socket"
 )
 
 // Serve accepts and serves client connections until the context ends. Then it drains, and returns when the requests in flight
@@ -22,7 +21,8 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener, inherited bool) error {
 	clientListener := s.newClientListener(l)
 	defer clientListener.Close()
-	s.nearLimit = clientListener.NearLimit
+	s.clients.Store(clientListener)
+	clientListener.SetMaxConnections(int(s.maxConnections.Load())) // it may have changed since the listener was made
 	server := s.httpServer()
 	defer server.Close()
 	if inherited && !s.awaitEndpoints(ctx) {
@@ -52,8 +52,7 @@
 // newClientListener wraps l in the listeners that the package comment describes, innermost first.
 func (s *Server) newClientListener(l net.Listener) *connlimit.Listener {
 	retrying := acceptretry.New(l, s.Log, s.Events)
-	resized := socket.Listener{Listener: retrying, BufferBytes: s.SocketBufferBytes}
-	clientListener := connlimit.New(framing.Listener{Listener: resized}, s.MaxConnections)
+	clientListener := connlimit.New(framing.Listener{Listener: retrying, Budget: s.BodyBudget}, int(s.maxConnections.Load()))
 	clientListener.HeaderTimeout, clientListener.StallLimit = headerTimeout, clientStallLimit
 	clientListener.Events, clientListener.Monitor = s.Events, s.Monitor
 	return clientListener
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -14,27 +14,41 @@
 // Server is the HTTP server for clients.
 type Server struct {
 	Config
-	maxInFlight int64 // requests; more are shed
-	inFlight    atomic.Int64
-	lifecycle   lifecycle
-	accepting   atomic.Bool // client connections are being accepted
-	nearLimit   func() bool // reports whether so many connections are open that answers close theirs
+	maxInFlight    atomic.Int64 // requests; more are shed
+	maxConnections atomic.Int64 // open client connections
+	inFlight       atomic.Int64
+	lifecycle      lifecycle
+	accepting      atomic.Bool                        // client connections are being accepted
+	clients        atomic.Pointer[connlimit.Listener] // the listener in use; nil before Serve
 }
 
 // New returns a server. It does not accept connections until Serve is called.
 func New(cfg Config) *Server {
-	maxInFlight := int64(MaxInFlightFraction * float64(cfg.MaxConnections))
-	if limit := int64(cfg.Site.MaxOpenRequests); limit > 0 {
-		maxInFlight = min(maxInFlight, limit)
+	s := &Server{Config: cfg, lifecycle: newLifecycle()}
+	s.SetLimits(cfg.MaxConnections, cfg.MaxInFlight)
+	return s
+}
+
+// SetLimits sets the limits on open client connections and on requests in flight. Connections over a lower limit stay open until the next one
+// is accepted.
+func (s *Server) SetLimits(connections, inFlight int) {
+	maxInFlight := int64(inFlight)
+	if site := int64(s.Site.MaxOpenRequests); site > 0 {
+		maxInFlight = min(maxInFlight, site)
 	}
-	return &Server{
-		Config:      cfg,
-		maxInFlight: maxInFlight,
-		lifecycle:   newLifecycle(),
-		nearLimit:   func() bool { return false },
+	s.maxInFlight.Store(maxInFlight)
+	s.maxConnections.Store(int64(connections))
+	if clients := s.clients.Load(); clients != nil {
+		clients.SetMaxConnections(connections)
 	}
 }
 
+// nearLimit reports whether so many connections are open that answers close theirs.
+func (s *Server) nearLimit() bool {
+	clients := s.clients.Load()
+	return clients != nil && clients.NearLimit()
+}
+
 // httpServer returns a net/http server that uses s as its handler.
 func (s *Server) httpServer() *http.Server {
 	return &http.Server{
@@ -62,6 +76,10 @@
 		writeInvalid(w, errUnknownClass)
 		return
 	}
+	if r.ContentLength != 0 && s.inFlight.Load() >= s.maxInFlight.Load() {
+		s.shedUnread(w, r, class)
+		return
+	}
 	call, release, err := s.read(w, r, class)
 	if err != nil {
 		s.answerInvalid(w, r, class, err)
--- a/internal/httpmsg/body.go
+++ b/internal/httpmsg/body.go
@@ -44,14 +44,10 @@
 	}
 	granted := budget.Reserve(bufferSize(body.Length))
 	release = func() { budget.Release(granted) }
-	var buffer bytes.Buffer
-	if body.Length > 0 {
-		buffer.Grow(granted)
-	}
-	n, err := io.CopyN(&buffer, upload, int64(granted))
-	body.Buffered = buffer.Bytes()
+	body.Buffered, err = readUpTo(upload, granted, body.Length < 0)
+	n := int64(len(body.Buffered))
 	switch {
-	case err == io.EOF && body.Length < 0, err == nil && n == body.Length:
+	case err == io.EOF && (body.Length < 0 || n == body.Length), err == nil && n == body.Length:
 		body.Length = n
 	case err == nil:
 		body.Remainder = &Remainder{Upload: upload}
@@ -62,6 +58,28 @@
 	return body, release, nil
 }
 
+// firstBufferBytes is the size of the first buffer for a body of unknown length, in bytes.
+const firstBufferBytes = 4 << 10
+
+// readUpTo reads up to limit bytes of a body into a buffer that is never larger than that. If the length is unknown, the buffer grows with
+// what arrives. The error is nil once limit bytes have been read, and otherwise that of the reader; io.EOF means that the body has ended.
+func readUpTo(r io.Reader, limit int, unknownLength bool) (buffer []byte, err error) {
+	size := limit
+	if unknownLength {
+		size = min(limit, firstBufferBytes)
+	}
+	buffer = make([]byte, 0, size)
+	for len(buffer) < limit && err == nil {
+		if len(buffer) == cap(buffer) {
+			buffer = append(make([]byte, 0, min(limit, 2*cap(buffer))), buffer...)
+		}
+		var n int
+		n, err = r.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+	}
+	return buffer, err
+}
+
 // bufferSize returns the size of the buffer for a body of the given length, or of unknown length if it is negative.
 func bufferSize(length int64) int {
 	if length < 0 {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -58,19 +58,3 @@
 	}
 	return errors.Join(sized.SetReadBuffer(bytes), sized.SetWriteBuffer(bytes))
 }
-
-// Listener is a net.Listener that sets the buffer sizes of the connections it accepts.
-type Listener struct {
-	net.Listener
-	BufferBytes int // in each direction; 0 leaves the kernel's default
-}
-
-// Accept returns the next connection. A failure to set its buffer sizes is ignored: it means that the client has already closed the
-// connection, which then fails on first use.
-func (l Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err == nil {
-		SetBufferSizes(c, l.BufferBytes)
-	}
-	return c, err
-}
--- a/internal/upstream/http/write.go
+++ b/internal/upstream/http/write.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	writeBufferBytes = 32 << 10 // buffer of a request whose body still arrives from the client
+	writeBufferBytes = 32 << 10 // buffer of a request whose body still arrives from the client, if the budget has as much
 
 	// lateResponseTimeout is how long to wait for a response after the write of the request has failed. The endpoint may have sent a
 	// response before it stopped reading.
@@ -106,8 +106,10 @@
 
 // writeBody writes the head, and the body as it arrives from the client.
 func (x *exchange) writeBody(watch *responseWatch) error {
+	buffer := x.Budget.Reserve(writeBufferBytes)
+	defer x.Budget.Release(buffer)
 	head := x.appendHead(x.state.requestBuffer[:0], x.remainingTimeout())
-	writer := bufio.NewWriterSize(x.newSender(watch), writeBufferBytes)
+	writer := bufio.NewWriterSize(x.newSender(watch), buffer)
 	writer.Write(head) // Flush returns the error
 	if err := copyBody(writer, &x.message.Body); err != nil {
 		return err
@@ -119,22 +121,25 @@
 	return nil
 }
 
-// copyBody writes a body in the form that its head announces: with a length or in chunks.
+// copyBody writes a body in the form that its head announces: with a length or in chunks. It reads into the writer's own buffer.
 func copyBody(writer *bufio.Writer, body *httpmsg.Body) error {
 	if body.Length < 0 {
 		return copyChunked(writer, body)
 	}
-	n, err := io.Copy(writer, body.Reader())
+	n, err := writer.ReadFrom(readerOnly{body.Reader()})
 	if err == nil && n != body.Length {
 		err = io.ErrUnexpectedEOF
 	}
 	return err
 }
 
+// chunkBytes is the length of the chunks of a forwarded body, but for the last one.
+const chunkBytes = 4 << 10
+
 // copyChunked writes a body in chunks, without trailers.
 func copyChunked(writer *bufio.Writer, body *httpmsg.Body) error {
 	chunks := httputil.NewChunkedWriter(writer)
-	if _, err := io.Copy(chunks, body.Reader()); err != nil {
+	if _, err := io.CopyBuffer(writerOnly{chunks}, readerOnly{body.Reader()}, make([]byte, chunkBytes)); err != nil {
 		return err
 	}
 	if err := chunks.Close(); err != nil {
@@ -144,6 +149,12 @@
 	return err
 }
 
+// readerOnly hides all methods of a reader but Read, so that a copy uses the buffer that it is given and allocates none.
+type readerOnly struct{ io.Reader }
+
+// writerOnly hides all methods of a writer but Write, for the same reason.
+type writerOnly struct{ io.Writer }
+
 // responseWatch waits for the first byte of a response while the request is being written.
 type responseWatch struct {
 	writeEnded atomic.Bool   // the writer has ended
