Fix: clients that send cheap requests at full speed no longer delay the others

Cause: /ready, and every other request that no endpoint serves, returns before anything that limits or orders work. Six such connections keep Go's run queue full; the scheduler then looks for network events only every 10 ms, from its monitor, and gives each connection up to 10 ms at a time. Each step of another request (accept, read, connect, response) waits for that: the delay grows with the number of turns that flooding connections take, not with what a request costs. Malformed heads and unknown classes were bearable because their answers close the connection: the next one costs its client a connect. Change: requests that no endpoint served begin at 20 a second on a connection, with bursts of 50; beyond that all such connections share 500 turns a second in the order in which they ask. Accepts keep to 1,000 a second after a burst of 500. Evidence that told the hypotheses apart: with the processor left idle between turns the delay is gone at the same number of flooding clients. Loss: a client that is rejected more than 20 times a second on one connection waits for its turn; a crowd of connections beyond 500 is accepted over seconds.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -19,6 +19,8 @@
 	activityBegan  time.Time
 	lastActivity   time.Time // when the activity began or, while a request is read, when its latest bytes arrived
 	protectedUntil time.Time // not evicted before this time, because its bytes are about to be read
+	requests       bucket    // that may begin without waiting for a turn
+	served         bool      // an endpoint served the latest request
 	hadRequest     bool      // a handler has accepted a request on this connection
 	readDeadline   time.Time // as set by the server or by bytesReceived; not in force while a close is pending
 	readAhead      readAhead
@@ -173,6 +175,9 @@
 	defer c.listener.mu.Unlock()
 	c.cancelClose()
 	c.enter(next)
+	if next != idle {
+		c.served = false
+	}
 	if next == requestInFlight {
 		c.hadRequest = true
 		return
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -29,6 +29,8 @@
 	capacityFreed   *sync.Cond // signaled when a slot is free, or when a connection that could not be evicted before can be
 	closed          bool
 	lastAccept      time.Time
+	accepts         bucket // of new connections that are accepted without a pause
+	turns           turns
 	conns           map[*Conn]struct{}
 	lingeringCloses sync.WaitGroup
 }
@@ -59,6 +61,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.pauseAccepts()
 	if !l.awaitCapacity() {
 		raw.Close()
 		return nil, net.ErrClosed
@@ -74,6 +77,15 @@
 	return c, nil
 }
 
+// pauseAccepts keeps accepts to their rate. The lock must be held; it is released during the pause.
+func (l *Listener) pauseAccepts() {
+	if delay := l.acceptDelay(time.Now()); delay > 0 {
+		l.mu.Unlock()
+		time.Sleep(delay)
+		l.mu.Lock()
+	}
+}
+
 // recordAccept records the accept of a connection, with the client's address if events are logged. The lock must be held.
 func (l *Listener) recordAccept(c *Conn) {
 	accepted := event.Event{Kind: event.ConnectionAccepted, Connection: c.id}
--- a/internal/connlimit/request.go
+++ b/internal/connlimit/request.go
@@ -6,7 +6,8 @@
 	"net/http"
 )
 
-// ConnState is the ConnState hook of the http.Server. It tracks the state that net/http reports for a connection.
+// ConnState is the ConnState hook of the http.Server. It tracks the state that net/http reports for a connection, and holds up connections that
+// send requests at too high a rate.
 func ConnState(raw net.Conn, state http.ConnState) {
 	c, ok := raw.(*Conn)
 	if !ok {
@@ -17,6 +18,7 @@
 		c.setActivity(readingRequest)
 	case http.StateIdle:
 		c.setActivity(idle)
+		c.awaitTurn()
 	}
 }
 
@@ -57,6 +59,17 @@
 	c.answerDecided = true
 }
 
+// MarkServed records that an endpoint served the request in flight.
+func MarkServed(ctx context.Context) {
+	c, ok := fromContext(ctx)
+	if !ok {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.served = true
+}
+
 // BeginDiscard records that the answer to the request in flight has been written, and that what the client still sends of the request is
 // read and discarded. The connection may be evicted from then on.
 func BeginDiscard(ctx context.Context) {
--- a/internal/front/http/answer.go
+++ b/internal/front/http/answer.go
@@ -19,6 +19,7 @@
 	x.server.setConnectionHeader(x.ctx, x.writer)
 	if a.Kind == core.Served {
 		x.recordAnswer(event.Served)
+		connlimit.MarkServed(x.ctx)
 		x.stream(a.Content.(*httpmsg.Content))
 		return
 	}
