Bound what the kernel holds of answers by what is unsent, and share it out at the end of a process

Change: TCP_NOTSENT_LOWAT bounds what is unsent, and at the end of a drain the answers that are left share what all connections could take. TestUnreadAnswerStaysWithinTheBound: 4 MB written to a client that does not read; at most 128 KB are taken at 8 KiB.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -41,6 +41,8 @@
 	TimeOfDay func() time.Time // returns the wall-clock time; nil selects the machine's clock
 	Disk      snapshot.Disk    // stores the snapshot; nil selects the machine's file system
 
+	Program int64 // resident bytes of the program's file; 0 reads them from the system
+
 	// OnPlan is called when the memory of the process has been divided, and again when the division changes. It may be nil.
 	OnPlan func(memory.Plan)
 }
--- a/internal/agent/build.go
+++ b/internal/agent/build.go
@@ -194,6 +194,7 @@
 		BodyBudget:     a.bodies,
 		MaxConnections: a.plan.Load().ClientConnections,
 		MaxInFlight:    a.plan.Load().InFlight,
+		UnsentBytes:    a.plan.Load().SocketBuffer,
 		AcceptWindow:   a.config.AcceptWindow,
 		DrainTimeout:   a.operators.Drain.MaxDuration.D(),
 		Log:            a.log,
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -52,9 +52,13 @@
 	return launchAgent(t, cfg, Environment{Clients: testkit.Listen(t), Control: testkit.Listen(t)}, log)
 }
 
+// deployedProgram stands for the resident part of a deployed program, as that of a test program is several times as large.
+const deployedProgram = 12 << 20
+
 // launchAgent runs an agent in this environment until the test ends, and waits until it is ready.
 func launchAgent(t *testing.T, cfg platform.Config, env Environment, log slog.Handler) *testAgent {
 	t.Helper()
+	env.Program = deployedProgram
 	ctx, stop := context.WithCancel(context.Background())
 	addr := env.Clients.Addr().String()
 	a := &testAgent{site: cfg.Site, addr: addr, url: "http://" + addr, stop: stop, done: make(chan error, 1)}
--- a/internal/agent/memory.go
+++ b/internal/agent/memory.go
@@ -36,9 +36,13 @@
 // planMemory divides the limits for a role.
 func planMemory(cfg platform.Config, operators operator.File, env Environment, role memory.Role) memory.Plan {
 	descriptors := limitConnections(cfg.MaxDescriptors, env)
+	program := env.Program
+	if program == 0 {
+		program = memory.ResidentProgram()
+	}
 	return memory.NewPlan(memory.Limits{
 		Bytes:               memoryLimit(cfg),
-		Program:             memory.ResidentProgram(),
+		Program:             program,
 		Role:                role,
 		ClientConnections:   descriptors.fromClients,
 		EndpointConnections: descriptors.toEndpoints,
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -118,6 +118,9 @@
 			c.Conn.SetReadDeadline(time.Time{})
 		case timedOut(err) && c.closePending && unread(c.Conn):
 			c.cancelClose() // what arrived before the close took effect may be a request
+		case timedOut(err) && c.activity == idle && !isAbortDeadline(c.readDeadline) && unread(c.Conn):
+			c.readDeadline = time.Now().Add(c.listener.HeaderTimeout) // it arrived before the deadline that has passed took effect
+			c.Conn.SetReadDeadline(c.readDeadline)
 		default:
 			return n, err
 		}
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -131,6 +131,16 @@
 	}
 }
 
+// ShareUnsent divides a number of bytes among the open connections, as the bound on what the kernel holds of their unsent answers. At the end
+// of a process the answers that are left may take what all connections could, so that the kernel delivers them after it.
+func (l *Listener) ShareUnsent(bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		socket.BoundUnsent(c.Conn, bytes/len(l.conns))
+	}
+}
+
 // Len returns the number of open connections, including those in a lingering close.
 func (l *Listener) Len() int {
 	l.mu.Lock()
--- a/internal/front/http/config.go
+++ b/internal/front/http/config.go
@@ -27,6 +27,7 @@
 	BodyBudget     *bodybuffer.Budget // limits the memory for request bodies and long heads
 	MaxConnections int                // limits the open client connections; see SetLimits
 	MaxInFlight    int                // limits the requests in flight; more are shed at once
+	UnsentBytes    int                // bounds what the kernel holds for each client, see socket.Listener; 0 for no bound
 	AcceptWindow   time.Duration      // how long new connections are accepted after the termination signal
 	DrainTimeout   time.Duration      // for requests in flight and streams after the termination signal; 0 selects the platform's limits
 }
--- a/internal/front/http/doc.go
+++ b/internal/front/http/doc.go
@@ -20,9 +20,9 @@
 //
 // # Connections
 //
-// Client connections pass through three listeners, innermost first: acceptretry retries accepts that fail, framing detects messages whose
-// end two parsers could see in different places and heads that cost too much memory, and connlimit bounds the number of connections and
-// decides which of them may be closed. An answer closes its connection while the agent
+// Client connections pass through four listeners, innermost first: acceptretry retries accepts that fail, socket bounds what the kernel holds
+// of answers, framing detects messages whose end two parsers could see in different places and heads that cost too much memory, and connlimit
+// bounds the number of connections and decides which of them may be closed. An answer closes its connection while the agent
 // drains, while the number of connections is near the limit, and after framing has lost track of the message boundaries.
 //
 // # Lifecycle
--- a/internal/front/http/drain.go
+++ b/internal/front/http/drain.go
@@ -12,7 +12,7 @@
 //
 //  1. From now on each answer closes its connection, and idle connections are closed. New connections are accepted for AcceptWindow,
 //     because clients may not know of the shutdown yet. On an inherited listener the next process accepts them instead.
-//  2. The listener closes. Requests in flight continue until all connections have closed or requestLimit has passed.
+//  2. The listener closes. The kernel may take more of the answers that are left. Requests in flight continue until all connections have closed or requestLimit has passed.
 //  3. The core ends all calls that are still in progress, so that their requests are answered. Without this step the end of the process
 //     would cut them off.
 //  4. Answers that are being written continue until they are complete or streamLimit has passed.
@@ -32,6 +32,9 @@
 	}
 	clientListener.Close()
 	<-serveErr
+	if s.UnsentBytes > 0 {
+		clientListener.ShareUnsent(s.UnsentBytes * int(s.maxConnections.Load()))
+	}
 	for clientListener.Len() > 0 && requestCtx.Err() == nil {
 		sleep(requestCtx, drainPollInterval)
 	}
--- a/internal/front/http/serve.go
+++ b/internal/front/http/serve.go
@@ -10,6 +10,7 @@
 	"ryeweir/internal/connlimit"
 	"ryeweir/internal/framing"
 	"ryeweir/internal/invariant"
+	"ryeweir/internal/socket"
 )
 
 // Serve accepts and serves client connections until the context ends. Then it drains, and returns when the requests in flight
@@ -52,7 +53,8 @@
 // newClientListener wraps l in the listeners that the package comment describes, innermost first.
 func (s *Server) newClientListener(l net.Listener) *connlimit.Listener {
 	retrying := acceptretry.New(l, s.Log, s.Events)
-	clientListener := connlimit.New(framing.Listener{Listener: retrying, Budget: s.BodyBudget}, int(s.maxConnections.Load()))
+	bounded := socket.Listener{Listener: retrying, UnsentBytes: s.UnsentBytes}
+	clientListener := connlimit.New(framing.Listener{Listener: bounded, Budget: s.BodyBudget}, int(s.maxConnections.Load()))
 	clientListener.HeaderTimeout, clientListener.StallLimit = headerTimeout, clientStallLimit
 	clientListener.Events, clientListener.Monitor = s.Events, s.Monitor
 	return clientListener
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -44,31 +46,22 @@
 // as long as the buffers must pass at once.
 func TestShapedConnectionsAreBoundedAndDoNotStall(t *testing.T) {
 	const requested, bodyBytes = 8 << 10, 256 << 10
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	ShapeListener(l, requested)
-	client, err := Dialer(requested).DialContext(t.Context(), "tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	accepted, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer accepted.Close()
-	for _, c := range []net.Conn{client, accepted} {
-		withDescriptor(c, func(descriptor int) {
-			for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
-				if size, err := unix.GetsockoptInt(descriptor, unix.SOL_SOCKET, option); err != nil || size > 2*requested {
-					t.Errorf("option %d is %d bytes, %v", option, size, err)
-				}
-			}
-			if size, err := unix.GetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_MAXSEG); err != nil || size > requested/2 {
-				t.Errorf("segments of %d bytes, %v", size, err)
+	client, accepted := shapedPair(t, requested)
+	for name, bounds := range map[string]struct {
+		conn          net.Conn
+		level, option int
+		most          int
+	}{
+		"receive buffer of a client":     {accepted, unix.SOL_SOCKET, unix.SO_RCVBUF, 2 * requested},
+		"unsent bytes to a client":       {accepted, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, 2 * requested},
+		"segments to a client":           {accepted, unix.IPPROTO_TCP, unix.TCP_MAXSEG, requested / 2},
+		"receive buffer of an endpoint":  {client, unix.SOL_SOCKET, unix.SO_RCVBUF, 2 * requested},
+		"send buffer of an endpoint":     {client, unix.SOL_SOCKET, unix.SO_SNDBUF, 2 * requested},
+		"segments of an endpoint's side": {client, unix.IPPROTO_TCP, unix.TCP_MAXSEG, requested / 2},
+	} {
+		withDescriptor(bounds.conn, func(descriptor int) {
+			if size, err := unix.GetsockoptInt(descriptor, bounds.level, bounds.option); err != nil || size > bounds.most || size <= 0 {
+				t.Errorf("%s: %d bytes, at most %d are allowed, %v", name, size, bounds.most, err)
 			}
 		})
 	}
@@ -82,3 +75,35 @@
 		t.Error(err)
 	}
 }
+
+// Failure: the send buffer of a client that reads slowly grew to 4 MB. What a client does not read must stay within the bound.
+func TestUnreadAnswerStaysWithinTheBound(t *testing.T) {
+	const requested, bodyBytes = 8 << 10, 4 << 20
+	client, accepted := shapedPair(t, requested)
+	client.(*net.TCPConn).SetReadBuffer(requested)
+	accepted.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+	n, err := accepted.Write(make([]byte, bodyBytes))
+	if !errors.Is(err, os.ErrDeadlineExceeded) || n > 16*requested {
+		t.Errorf("the kernel took %d bytes that the client does not read, %v", n, err)
+	}
+}
+
+// shapedPair returns a connection between a dialer and a listener that are shaped.
+func shapedPair(t *testing.T, bufferBytes int) (client, accepted net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	ShapeListener(l, bufferBytes)
+	if client, err = Dialer(bufferBytes).DialContext(t.Context(), "tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	if accepted, err = (Listener{l, bufferBytes}).Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return client, accepted
+}
