Fix: a client that leaves is noticed behind any amount of unread bytes

Cause: the read-ahead stopped at maxReadAhead, and from then on nobody looked at the connection. The kernel can't tell either: the end arrives behind all bytes, and while nobody reads, the window stays shut.

--- a/internal/connlimit/doc.go
+++ b/internal/connlimit/doc.go
@@ -28,7 +28,8 @@
 // # Client disconnects
 //
 // net/http detects a client disconnect only until the first byte arrives after the request. From then on this package reads ahead
-// itself, up to a limit, and returns these bytes to the server later: see readAhead and OnDisconnect.
+// itself. It returns these bytes to the server later; what exceeds a limit is discarded, and the connection is closed after the answer: see
+// readAhead and OnDisconnect.
 //
 // # Locking
 //
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -30,7 +30,8 @@
 	closed          bool
 	lastAccept      time.Time
 	accepts         bucket // of new connections that are accepted without a pause
-	turns           turns
+	turns           turns  // of connections over their rate of requests
+	discards        turns  // of connections whose input is discarded
 	conns           map[*Conn]struct{}
 	lingeringCloses sync.WaitGroup
 }
--- a/internal/connlimit/pace.go
+++ b/internal/connlimit/pace.go
@@ -15,6 +15,8 @@
 	turnRate     = 500.0  // requests per second of all connections over their rate
 	acceptRate   = 1000.0 // new connections per second
 	acceptBurst  = 500.0  // new connections
+
+	discardTurnRate = 2000.0 // turns per second of all connections whose input is discarded
 )
 
 // bucket is a token bucket. The zero value is full.
@@ -34,16 +36,16 @@
 	return true
 }
 
-// turns hands out turns at turnRate, in the order in which they are asked for.
+// turns hands out turns at a rate, in the order in which they are asked for.
 type turns struct{ next time.Time }
 
-// take returns how long to wait for the next turn.
-func (t *turns) take(now time.Time) time.Duration {
+// take returns how long to wait for the next turn, at a number of turns per second.
+func (t *turns) take(now time.Time, rate float64) time.Duration {
 	if t.next.Before(now) {
 		t.next = now
 	}
 	wait := t.next.Sub(now)
-	t.next = t.next.Add(time.Duration(float64(time.Second) / turnRate))
+	t.next = t.next.Add(time.Duration(float64(time.Second) / rate))
 	return wait
 }
 
@@ -52,7 +54,7 @@
 	if c.served || c.requests.take(now, requestRate, requestBurst) {
 		return 0
 	}
-	return c.listener.turns.take(now)
+	return c.listener.turns.take(now, turnRate)
 }
 
 // acceptDelay returns how long to wait before the next accept. The lock must be held.
--- a/internal/connlimit/request.go
+++ b/internal/connlimit/request.go
@@ -59,6 +59,18 @@
 	c.answerDecided = true
 }
 
+// InputDiscarded reports whether the client of a request has sent so much behind it that bytes were discarded. The connection can carry no
+// further request then.
+func InputDiscarded(ctx context.Context) bool {
+	c, ok := fromContext(ctx)
+	if !ok {
+		return false
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.readAhead.overrun
+}
+
 // MarkServed records that an endpoint served the request in flight.
 func MarkServed(ctx context.Context) {
 	c, ok := fromContext(ctx)
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -91,7 +91,7 @@
 // setConnectionHeader makes the answer that is about to be written close its connection if the server is draining or shutting
 // down, the number of connections is near the limit, or the start of the next request on the connection is unknown.
 func (s *Server) setConnectionHeader(ctx context.Context, w http.ResponseWriter) {
-	if s.lifecycle.draining() || s.nearLimit() || framing.Desynchronized(ctx) {
+	if s.lifecycle.draining() || s.nearLimit() || framing.Desynchronized(ctx) || connlimit.InputDiscarded(ctx) {
 		w.Header().Set("Connection", "close")
 	}
 }
