Fix: a client that leaves is noticed while its long body waits for a connection

Cause: nobody reads the connection between the buffered part of a body and the attempt that reads on, so nobody sees its end. Change: until then a goroutine waits for the end of the connection (RDHUP, HUP, ERR by poll, woken by the network poller) and leaves the body unread; a client's receive buffer is twice the others, as its end is seen only behind what fits. Open: the end behind a body that exceeds both the buffered 64 KiB and the receive buffer (4 to 64 KiB of it by the limit) is not seen until an attempt reads on.

--- a/internal/agent/memory.go
+++ b/internal/agent/memory.go
@@ -53,7 +53,7 @@
 // applyPlan makes a plan the one in force and tells the owner of the process, who limits the Go runtime.
 func (a *agent) applyPlan(plan memory.Plan) {
 	a.plan.Store(&plan)
-	socket.ShapeListener(a.env.Clients, plan.SocketBuffer)
+	socket.ShapeListener(a.env.Clients, plan.ReceiveBuffer)
 	if a.env.OnPlan != nil {
 		a.env.OnPlan(plan)
 	}
--- a/internal/connlimit/disconnect_test.go
+++ b/internal/connlimit/disconnect_test.go
@@ -103,3 +103,40 @@
 	receive(t, "the second handler is notified", ctx.Done())
 	<-s.disconnected
 }
+
+// Failure: an attempt began 0.25 s after its client had left, while a long body waited for a connection to an endpoint and nobody read it. The
+// end of the connection must be noticed with the body unread, however the client ends it.
+func TestHangupIsNoticedBehindAnUnreadBody(t *testing.T) {
+	for how, disconnect := range map[string]func(*net.TCPConn){
+		"closes": func(c *net.TCPConn) { c.Close() },
+		"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		t.Run(how, func(t *testing.T) {
+			c, client := acceptPair(t, New(testkit.Listen(t), 1))
+			hungUp := make(chan struct{})
+			stop := OnHangup(ConnContext(t.Context(), c), func() { close(hungUp) })
+			defer stop()
+			io.WriteString(client, strings.Repeat("b", 30<<10))
+			select {
+			case <-hungUp:
+				t.Fatal("notified of bytes")
+			case <-time.After(50 * time.Millisecond):
+			}
+			disconnect(client.(*net.TCPConn))
+			receive(t, "the client's end is noticed", hungUp)
+		})
+	}
+}
+
+// The detection of a client's end must give the connection back to its reader with nothing lost.
+func TestBodyIsReadAfterTheDetectionOfAHangupEnds(t *testing.T) {
+	c, client := acceptPair(t, New(testkit.Listen(t), 1))
+	stop := OnHangup(ConnContext(t.Context(), c), func() { t.Error("notified though the client is there") })
+	io.WriteString(client, "body")
+	stop()
+	stop()
+	got := make([]byte, 4)
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != "body" {
+		t.Errorf("read %q, %v", got, err)
+	}
+}
--- a/internal/front/http/exchange.go
+++ b/internal/front/http/exchange.go
@@ -53,8 +53,8 @@
 	x.await(x.submit())
 }
 
-// begin marks the request as in flight. It also starts the request's deadline and the detection of a client disconnect; if the
-// body is still being received, both start when it is complete.
+// begin marks the request as in flight. It also starts the request's deadline and the detection of a client disconnect. If the body is still
+// being received, the deadline starts when it is complete, and until an attempt reads on the detection leaves the rest of it unread.
 //
 // A request with a buffered body whose client has already disconnected ends here and is never submitted. Otherwise an attempt could
 // be sent for a client that is gone, which violates the invariant send_after_client_left. If the body is still being received,
@@ -63,6 +63,7 @@
 	connlimit.BeginRequest(x.ctx, x.call.ID)
 	if x.upload != nil {
 		x.upload.OnComplete = x.uploadCompleted
+		x.upload.BeforeRead = connlimit.OnHangup(x.ctx, x.cancelCtx)
 		return
 	}
 	x.call.Deadline = x.recordReceived() + x.call.Timeout
@@ -94,6 +95,9 @@
 // finish takes the request out of the counts of open requests and cancels its context. It also runs when the handler panics with
 // http.ErrAbortHandler.
 func (x *exchange) finish() {
+	if x.upload != nil {
+		x.upload.BeforeRead() // nobody may wait for the connection's end once the server reads it again
+	}
 	if x.counted {
 		x.server.inFlight.Add(-1)
 	}
--- a/internal/httpmsg/remainder.go
+++ b/internal/httpmsg/remainder.go
@@ -5,10 +5,11 @@
 	"sync"
 )
 
-// Remainder is the part of a body that is not buffered. It can be read only once. Its methods are safe for concurrent use. Both
+// Remainder is the part of a body that is not buffered. It can be read only once. Its methods are safe for concurrent use. The
 // exported fields must be set before the first Read.
 type Remainder struct {
 	Upload     *Upload
+	BeforeRead func() // called before each read of the upload; may be nil
 	OnComplete func() // called once, by the goroutine that reads the end
 
 	mu       sync.Mutex // also held during a read
@@ -28,6 +29,7 @@
 		return 0, r.err
 	}
 	r.consumed = true
+	r.prepare()
 	n, err := r.Upload.Read(p)
 	if err != nil && err != io.EOF && r.Stopped() {
 		return n, errRequestEnded
@@ -39,6 +41,13 @@
 	return n, err
 }
 
+// prepare calls BeforeRead.
+func (r *Remainder) prepare() {
+	if r.BeforeRead != nil {
+		r.BeforeRead()
+	}
+}
+
 // Consumed reports whether part of the remainder has been read, so that the body can no longer be sent from its beginning.
 func (r *Remainder) Consumed() bool {
 	r.mu.Lock()
@@ -84,6 +93,7 @@
 // that sends its whole body before it reads would find its connection closed instead of the answer.
 func (r *Remainder) Drain() {
 	r.Close()
+	r.prepare()
 	r.Upload.resume()
 	io.Copy(io.Discard, r.Upload)
 }
--- a/internal/memory/plan.go
+++ b/internal/memory/plan.go
@@ -31,7 +31,8 @@
 	ClientConnections   int   // open connections of clients
 	InFlight            int   // of these, connections that may have a request in flight
 	EndpointConnections int   // open connections to endpoints
-	SocketBuffer        int   // bytes that are requested from the kernel for each buffer of a connection
+	SocketBuffer        int   // bytes that are requested from the kernel for each buffer of a connection, but for ReceiveBuffer
+	ReceiveBuffer       int   // the same for what a client sends: more, as a client's end is seen only behind what fits
 	Elastic             int64 // bytes for what exceeds the fixed part of a connection: long heads and bodies
 }
 
@@ -58,9 +59,10 @@
 
 	minSocketBuffer = 4 << 10
 	maxSocketBuffer = 64 << 10
-	// buffersPerConnection counts the kernel's buffers of a connection, one in each direction. The kernel doubles what is requested, for its
-	// own structures.
-	buffersPerConnection = 2 * 2
+	// kernelFactor is the kernel's memory of a buffer over what is requested, for its own structures.
+	kernelFactor = 2
+	// receiveFactor is a client's receive buffer over the others.
+	receiveFactor = 2
 )
 
 // Fractions of a plan.
@@ -119,7 +121,7 @@
 
 // fill returns the plan with as many connections as fit, for a given size of the kernel's buffers and fraction of requests in flight.
 func (l *Limits) fill(forClients int64, buffer int, inFlight float64) Plan {
-	plan := Plan{ClientConnections: l.ClientConnections, SocketBuffer: buffer}
+	plan := Plan{ClientConnections: l.ClientConnections, SocketBuffer: buffer, ReceiveBuffer: receiveFactor * buffer}
 	plan.limitInFlight(inFlight, l.EndpointConnections)
 	for !plan.fits(forClients) && plan.ClientConnections > minClientConnections {
 		plan.ClientConnections--
@@ -150,5 +152,7 @@
 
 // kernel returns the memory that the kernel's buffers of the plan's connections may take, in bytes.
 func (p *Plan) kernel() int64 {
-	return int64(p.ClientConnections+p.EndpointConnections) * int64(buffersPerConnection*p.SocketBuffer)
+	clients := p.ClientConnections * (p.ReceiveBuffer + p.SocketBuffer)
+	endpoints := p.EndpointConnections * 2 * p.SocketBuffer
+	return kernelFactor * int64(clients+endpoints)
 }
--- /dev/null
+++ b/internal/socket/hangup.go
@@ -0,0 +1,32 @@
+package socket
+
+import (
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// AwaitHangup waits until the peer of a connection has closed or reset it, or has closed its sending side, whatever is unread. It returns nil
+// then, and otherwise the error that ended the wait: the read deadline, the close of the connection, or errors.ErrUnsupported if c has no
+// socket. It reads nothing, but no other goroutine can read from the connection while it waits.
+func AwaitHangup(c net.Conn) error {
+	systemConn, ok := unwrap(c).(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := systemConn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool { return hungUp(int(fd)) })
+}
+
+// hungUp reports whether the peer has ended the connection or its sending side.
+func hungUp(descriptor int) bool {
+	const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	events := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(events, 0)
+	return err == nil && n > 0 && events[0].Revents&ended != 0
+}
