Fix: an answer that pauses while its endpoint writes it is no longer cut off after 0.5 s

Callers saw: an answer of 200 bytes with a length, written in two halves 1.2 s apart with 2 s to the deadline, was cut off at each endpoint and answered 503 (502 where the class may not repeat). Cause: bufferStallTimeout, 0.5 s, took a pause for damage. It was there to leave time for another attempt after a damaged answer that stops; the time that is left is what that is about, and a request of a class that may not repeat had no further attempt to gain. Chunked and long answers are streamed and had 5 s. A late answer is hedged where the class allows it. TestOutcomeSaysExactlyWhatMayHaveRun: same cases and bounds; they run side by side, as three of them wait for 5 s now. Loss: an answer that stops in the middle is found after 5 s or at the deadline instead of after 0.5 s; where endpoints are busy (no hedging) such a request of an idempotent class fails at its deadline instead of being retried.

--- a/internal/upstream/http/body_test.go
+++ b/internal/upstream/http/body_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,3 +81,36 @@
 		})
 	}
 }
+
+// Failure: a short answer that its endpoint wrote in two halves, with a pause between them, was cut off after 0.5 s at each endpoint, though its
+// client still waited. It must come whole, with a length and without, and a pause that lasts to the deadline must end as timed out.
+func TestPauseWithinAShortAnswerIsNoDamage(t *testing.T) {
+	const half, pause = 100, 1200 * time.Millisecond
+	for name, c := range map[string]struct {
+		head    string
+		timeout time.Duration
+		want    logic.Result
+	}{
+		"with a length":           {"HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n", testkit.WaitTimeout, logic.OK},
+		"ended by a close":        {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", testkit.WaitTimeout, logic.OK},
+		"longer than the timeout": {"HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n", pause / 2, logic.TimedOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := testkit.NewBackend(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				io.WriteString(conn, c.head+strings.Repeat("a", half))
+				time.Sleep(pause)
+				io.WriteString(conn, strings.Repeat("b", half))
+				return false
+			})
+			f := newFixture(t, backend.Addr().String(), 10)
+			out := f.execute(f.attempt(c.timeout))
+			if out.Result != c.want {
+				t.Fatalf("result %v, want %v", out.Result, c.want)
+			}
+			if text := out.text(t); c.want == logic.OK && len(text) != 2*half {
+				t.Errorf("%d bytes of the answer, want %d", len(text), 2*half)
+			}
+		})
+	}
+}
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -13,13 +13,8 @@
 	"ryeweir/logic"
 )
 
-const (
-	// bufferStallTimeout is how long a buffered response may pause. A damaged response stops in the middle and leaves its
-	// connection open, and ending it early leaves time for another attempt.
-	bufferStallTimeout = 500 * time.Millisecond
-	// streamStallTimeout is how long an endpoint may send nothing of a streamed response, or take nothing of a streamed request.
-	streamStallTimeout = 5 * time.Second
-)
+// streamStallTimeout is how long an endpoint may send nothing in the middle of a response, or take nothing of a streamed request.
+const streamStallTimeout = 5 * time.Second
 
 // exchange is an attempt with its connection, from the first byte of the request on.
 type exchange struct {
@@ -73,8 +68,10 @@
 	}
 }
 
-// readDeadline returns when a read that began at the given time must have returned bytes of the response. The time is zero before the
-// first ones.
+// readDeadline returns when a read that began at the given time must have returned bytes of the response. The time is zero before the first ones.
+//
+// A pause does not tell a response that is damaged from one that its endpoint is still writing, so that the limit on it is the same whether the
+// response is streamed or buffered. A late response is hedged where the class allows it (package logic).
 func (x *exchange) readDeadline(readBegan time.Time) time.Time {
 	if cutoff := x.readCutoff.Load(); cutoff != 0 {
 		return x.Clock.At(time.Duration(cutoff))
@@ -83,10 +80,10 @@
 		return readBegan.Add(streamStallTimeout)
 	}
 	attemptDeadline := x.Clock.At(x.attempt.Deadline())
-	if x.streaming.Load() || readBegan.IsZero() {
+	if readBegan.IsZero() {
 		return attemptDeadline
 	}
-	if stalled := readBegan.Add(bufferStallTimeout); stalled.Before(attemptDeadline) {
+	if stalled := readBegan.Add(streamStallTimeout); stalled.Before(attemptDeadline) {
 		return stalled
 	}
 	return attemptDeadline
--- a/internal/upstream/http/outcome_test.go
+++ b/internal/upstream/http/outcome_test.go
@@ -69,6 +69,7 @@
 		}, logic.Reset, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel() // some wait for the end of a pause
 			backend := testkit.NewBackend(t, test.script)
 			f := newFixture(t, backend.Addr().String(), 100)
 			attempt := f.attempt(testkit.WaitTimeout)
