Fix: a long upload to an endpoint that takes it slowly is answered in its client's time

Cause: the time of a request counts from its last byte (PROTOCOL, Figures), which the client writes into the kernels' buffers, while the agent began it when it had read that byte; until then only the stall timeout of 5 s ended the wait for an endpoint. Change: an upload of known length keeps the latest time at which its client can't have written the last byte: while more than 4 MiB are left, which is what a send buffer holds by Linux's default, and whenever the agent had to wait for the client. The call ends when its timeout has passed since then (core.UploadExpired), as at any deadline. A chunked body has no known rest, and may still be answered late: open.

--- a/internal/agent/slow_reader_test.go
+++ b/internal/agent/slow_reader_test.go
@@ -139,3 +139,23 @@
 		})
 	}
 }
+
+// Failure: the answer to a long request came seconds after its time, as its deadline began only when the agent had read the last byte, while the
+// client had written it long before and the endpoint took nothing. It must come in time, and no later than a stall of the endpoint is noticed.
+func TestUploadToAnEndpointThatTakesNothingIsAnsweredInTime(t *testing.T) {
+	const timeout, limit = 500 * time.Millisecond, 3 * time.Second
+	for _, size := range []int64{200 << 10, 2 << 20, 4 << 20} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			l := testkit.Listen(t) // accepts in the kernel and reads nothing
+			a := startAgent(t, testkit.NewDiscovery(t, 1, testkit.EndpointJSON("s-1", l.Addr().String(), "Ready", 0)), 0)
+			r := a.pay(t, "")
+			r.Header.Set("X-Timeout", fmt.Sprintf("%dm", timeout.Milliseconds()))
+			r.Body, r.ContentLength = io.NopCloser(io.LimitReader(endless{}, size)), size
+			began := time.Now()
+			if got := send(t, r); got.status != http.StatusServiceUnavailable && got.status != http.StatusBadGateway || time.Since(began) > limit {
+				t.Errorf("status %d after %v", got.status, time.Since(began))
+			}
+		})
+	}
+}
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -48,6 +48,13 @@
 	c.handleEvent(logic.BodyReceived{Request: call.ID, Deadline: call.Deadline})
 }
 
+// expireUpload ends a call whose message is still arriving, as one whose deadline is now.
+func (c *Core) expireUpload(call *Call) {
+	if call.Deadline == 0 {
+		c.receiveBody(call, c.clock.Now()-call.Timeout)
+	}
+}
+
 // abandonCall ends a call for which no client is waiting. If the call has already been answered, an answer that the frontend has not
 // received is discarded.
 func (c *Core) abandonCall(call *Call) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -80,6 +80,10 @@
 // BodyReceived reports when the last byte of a call with BodyPending arrived. The call's timeout starts at that time.
 func (c *Core) BodyReceived(call *Call, at time.Duration) { c.send(bodyReceived{call, at}) }
 
+// UploadExpired reports that the client's deadline of a call with BodyPending may have passed, although its last byte has not been read. The call
+// ends now, unless BodyReceived came before.
+func (c *Core) UploadExpired(call *Call) { c.send(uploadExpired{call}) }
+
 // Abandon reports that no client is waiting for the call's answer any more. It may be called at any time after Submit.
 func (c *Core) Abandon(call *Call) { c.send(callAbandoned{call}) }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -84,6 +84,8 @@
 		c.acceptCall(m.call)
 	case bodyReceived:
 		c.receiveBody(m.call, m.at)
+	case uploadExpired:
+		c.expireUpload(m.call)
 	case callAbandoned:
 		c.abandonCall(m.call)
 	case attemptEnded:
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -20,6 +20,9 @@
 		at   time.Duration
 	}
 
+	// uploadExpired reports that the deadline of a call whose message is still arriving may have passed.
+	uploadExpired struct{ call *Call }
+
 	// callAbandoned reports that no client is waiting for the call's answer any more.
 	callAbandoned struct{ call *Call }
 
@@ -62,6 +65,7 @@
 
 func (callSubmitted) message()        {}
 func (bodyReceived) message()         {}
+func (uploadExpired) message()        {}
 func (callAbandoned) message()        {}
 func (attemptEnded) message()         {}
 func (endpointsUpdated) message()     {}
--- a/internal/front/http/exchange.go
+++ b/internal/front/http/exchange.go
@@ -74,6 +74,24 @@
 	}
 }
 
+// watchUploadDeadline ends the call of a long body when its client's deadline may have passed, although the agent has not read the last byte: an
+// endpoint takes the body more slowly than its client has written it.
+func (x *exchange) watchUploadDeadline() {
+	if x.ctx.Err() != nil || x.upload.Upload.Complete() {
+		return
+	}
+	if x.upload.Upload.Length < 0 {
+		return // nothing tells how much the client has still to write
+	}
+	now := time.Now()
+	remaining := x.upload.Upload.UnfinishedAt(now).Add(x.call.Timeout).Sub(now)
+	if remaining <= 0 {
+		x.server.Core.UploadExpired(x.call)
+		return
+	}
+	time.AfterFunc(remaining, x.watchUploadDeadline)
+}
+
 // recordReceived counts the request as received, once, when its last byte has arrived, and returns the current time. It may run
 // in the goroutine of an attempt.
 func (x *exchange) recordReceived() time.Duration {
@@ -124,7 +142,11 @@
 // has disconnected.
 func (x *exchange) submit() <-chan core.Answer {
 	x.call.Release = x.releaseBody
-	return x.server.Core.Submit(x.call)
+	answers := x.server.Core.Submit(x.call)
+	if x.upload != nil {
+		x.watchUploadDeadline()
+	}
+	return answers
 }
 
 // await waits for the call's answer and writes it, unless the client disconnects first.
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -73,6 +73,7 @@
 	upload := &httpmsg.Upload{
 		Source:          r.Body,
 		SetReadDeadline: http.NewResponseController(w).SetReadDeadline,
+		Length:          r.ContentLength,
 	}
 	return httpmsg.ReceiveBody(r, upload, s.BodyBudget)
 }
--- a/internal/httpmsg/upload.go
+++ b/internal/httpmsg/upload.go
@@ -18,13 +18,20 @@
 // UploadStallTimeout as a head start. It must never pause for longer than UploadStallTimeout. This guards against clients that occupy
 // connections and memory by sending a byte now and then. The time between two reads does not count: the agent may have to wait for an
 // endpoint then, while the client's bytes wait for the agent.
+//
+// The time of a request counts from its last byte, which its client may have written long before the agent reads it, when an endpoint takes the
+// body slowly: see UnfinishedAt.
 type Upload struct {
 	Source          io.Reader
 	SetReadDeadline func(time.Time) error // of the client's connection
+	Length          int64                 // of the body; negative if unknown
+
+	received     atomic.Int64              // bytes
+	readBegan    atomic.Pointer[time.Time] // when the read in progress began; nil if there is none
+	unfinishedAt atomic.Pointer[time.Time] // when the agent last stopped waiting for the client; nil before the first read
 
-	received int64         // bytes
-	waited   time.Duration // for which reads have waited for the client
-	stopped  atomic.Bool   // stop has interrupted the reading at least once; resume does not reset it
+	waited  time.Duration // for which reads have waited for the client
+	stopped atomic.Bool   // stop has interrupted the reading at least once; resume does not reset it
 
 	mu          sync.Mutex // guards the fields below and the order of calls to SetReadDeadline
 	complete    bool       // the end has been read
@@ -39,10 +46,13 @@
 	if err := u.setDeadline(u.nextDeadline(began)); err != nil {
 		return 0, err
 	}
+	u.readBegan.Store(&began)
 	n, err := u.Source.Read(p)
-	u.waited += time.Since(began)
-	u.received += int64(n)
-	if u.received > MaxBodyBytes {
+	u.readBegan.Store(nil)
+	waited := time.Since(began)
+	u.waited += waited
+	u.noteRead(n, began.Add(waited), waited)
+	if u.received.Load() > MaxBodyBytes {
 		return 0, ErrBodyTooLarge
 	}
 	if err == io.EOF {
@@ -53,9 +63,39 @@
 	return n, err
 }
 
+// Limits of what the client may have written ahead of the agent's reads.
+const (
+	// clientBufferBytes is how much of a body the kernels can hold between a client that has written it and the agent: by default Linux lets a
+	// send buffer grow to 4 MiB.
+	clientBufferBytes = 4 << 20
+	// emptyWait is the wait of a read from which it counts as having found nothing to read.
+	emptyWait = time.Millisecond
+)
+
+// noteRead records a read of n bytes that ended at the given time after a wait.
+func (u *Upload) noteRead(n int, now time.Time, waited time.Duration) {
+	left := u.Length - u.received.Add(int64(n))
+	if left > clientBufferBytes || waited >= emptyWait || u.unfinishedAt.Load() == nil {
+		u.unfinishedAt.Store(&now)
+	}
+}
+
+// UnfinishedAt returns the latest time until now at which the client can't have written the last byte of the body: more was left than the kernels
+// between them can hold, or the agent waited for the client. It is the zero time before the first read, and of no use if the length is unknown.
+// It may be called from any goroutine.
+func (u *Upload) UnfinishedAt(now time.Time) time.Time {
+	if began := u.readBegan.Load(); began != nil && now.Sub(*began) >= emptyWait || u.Length-u.received.Load() > clientBufferBytes {
+		return now
+	}
+	if at := u.unfinishedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // nextDeadline returns the time by which more bytes must arrive for a read that begins now.
 func (u *Upload) nextDeadline(now time.Time) time.Time {
-	byRate := UploadStallTimeout + time.Duration(u.received)*time.Second/MinUploadRate - u.waited
+	byRate := UploadStallTimeout + time.Duration(u.received.Load())*time.Second/MinUploadRate - u.waited
 	return now.Add(min(byRate, UploadStallTimeout))
 }
 
@@ -84,6 +124,13 @@
 	return nil
 }
 
+// Complete reports whether the end has been read. It does not wait for a read in progress.
+func (u *Upload) Complete() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.complete
+}
+
 // stop interrupts a read in progress and prevents further reads until resume. It has no effect once the end has been read.
 func (u *Upload) stop() {
 	u.mu.Lock()
--- a/internal/httpmsg/upload_test.go
+++ b/internal/httpmsg/upload_test.go
@@ -19,7 +19,8 @@
 		"slow, bound by rate":    {MinUploadRate, 3 * time.Second, UploadStallTimeout + time.Second},
 		"fast, bound by a pause": {100 * MinUploadRate, time.Second, time.Second + UploadStallTimeout},
 	} {
-		u := &Upload{received: c.received, waited: c.now} // the reads have waited all the time
+		u := &Upload{waited: c.now} // the reads have waited all the time
+		u.received.Store(c.received)
 		if got := u.nextDeadline(start.Add(c.now)).Sub(start); got != c.want {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
 		}
@@ -46,3 +47,35 @@
 		}
 	})
 }
+
+// The agent can't know when a client has written its last byte. The latest time at which it can't have must move while more is left than the
+// kernels hold and while the agent waits for the client, and must stand still while bytes wait for the agent.
+func TestUnfinishedAtMovesWhileTheClientMustStillWrite(t *testing.T) {
+	u := &Upload{Length: clientBufferBytes + 100}
+	began := time.Now()
+	for _, step := range []struct {
+		after, waited time.Duration
+		read          int
+		want, later   time.Duration // at the step, and half a second later
+	}{
+		{time.Second, 0, 50, time.Second, 1500 * time.Millisecond},              // more is left than the kernels hold
+		{2 * time.Second, 2 * emptyWait, 50, 2 * time.Second, 2 * time.Second},  // the agent waited for the client
+		{3 * time.Second, 0, 100, 2 * time.Second, 2 * time.Second},             // bytes waited for the agent
+		{4 * time.Second, 2 * emptyWait, 100, 4 * time.Second, 4 * time.Second}, // the agent waited again
+		{9 * time.Second, 0, 100, 4 * time.Second, 4 * time.Second},
+	} {
+		at := began.Add(step.after)
+		u.noteRead(step.read, at, step.waited)
+		if got := u.UnfinishedAt(at).Sub(began); got != step.want {
+			t.Errorf("after %v: %v, want %v", step.after, got, step.want)
+		}
+		if got := u.UnfinishedAt(at.Add(500 * time.Millisecond)).Sub(began); got != step.later {
+			t.Errorf("half a second after %v: %v, want %v", step.after, got, step.later)
+		}
+	}
+	waits := began.Add(10 * time.Second)
+	u.readBegan.Store(&waits)
+	if got := u.UnfinishedAt(began.Add(11 * time.Second)).Sub(began); got != 11*time.Second {
+		t.Errorf("while a read waits: %v", got)
+	}
+}
