Fix: an order that comes again after its client has left runs once, also at the other process

Cause: which requests may have been executed was known to one process, and to it only while an attempt was in flight: a process of an upgrade did not know what the other had sent, and a process forgot an ID with its call. A claim is released if no attempt can have run. A request with an idempotency key may come again within its window.

--- a/internal/agent/build.go
+++ b/internal/agent/build.go
@@ -147,6 +147,7 @@
 		Subscribe:        func() { a.discovery.Subscribe() }, // buildDiscovery sets a.discovery before the core runs
 		OnEndpointCounts: a.metrics.SetEndpointCounts,
 		Budget:           a.budget,
+		Record:           a.openRecord(),
 		PriorityOrder:    a.priorities,
 		Events:           a.events,
 		Monitor:          a.monitor,
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -20,6 +20,10 @@
 		c.answerUnaccepted(call, rejection)
 		return
 	}
+	if !c.claim(call) {
+		c.answerUnaccepted(call, Answer{Kind: Duplicate, Reason: event.DuplicateID})
+		return
+	}
 	c.calls[call.ID] = call
 	c.handleEvent(logic.Request{
 		ID:          call.ID,
@@ -31,6 +35,19 @@
 	})
 }
 
+// claim reports whether a call may be executed: its class allows repeats, or no request with its id may have been executed before, here or in
+// another process of the agent.
+func (c *Core) claim(call *Call) bool {
+	return c.config.Record == nil || !call.RepeatRestricted || c.config.Record.Claim(call.ID, call.IdempotencyWindow)
+}
+
+// settle ends the claim of a call that has no attempt in flight any more.
+func (c *Core) settle(call *Call) {
+	if c.config.Record != nil && call.RepeatRestricted {
+		c.config.Record.Settle(call.ID, !call.neverExecuted())
+	}
+}
+
 // answerUnaccepted answers a call that is not passed to the balancer.
 func (c *Core) answerUnaccepted(call *Call, answer Answer) {
 	call.finish(c.clock.Now())
@@ -92,6 +109,7 @@
 func (c *Core) removeFinishedCall(call *Call) {
 	if call.finished.Load() && call.inFlightCount == 0 && c.calls[call.ID] == call {
 		delete(c.calls, call.ID)
+		c.settle(call)
 		call.release()
 	}
 }
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -44,10 +44,23 @@
 	// PriorityOrder gives the priority of a call to Budget. It is required if Budget is set.
 	PriorityOrder *budget.PriorityOrder
 
+	// Record remembers which requests of restricted classes may have been executed, beyond the end of their calls and of this process. nil
+	// remembers none.
+	Record RequestRecord
+
 	Events  *event.Recorder    // records what happens to calls and attempts; nil records nothing
 	Monitor *invariant.Monitor // counts violated invariants; nil counts nothing
 }
 
+// RequestRecord is the memory of requests that may have been executed. Its methods must not block.
+type RequestRecord interface {
+	// Claim reports whether a request with this ID that arrives now may be executed, and claims the ID if so. window is the time in which a
+	// request with an idempotency key may be repeated, 0 for others.
+	Claim(id string, window time.Duration) bool
+	// Settle ends the work on a claimed ID.
+	Settle(id string, mayHaveExecuted bool)
+}
+
 // withDefaults replaces nil callbacks by ones that do nothing, where the loop calls them without checking for nil.
 func (cfg Config) withDefaults() Config {
 	if cfg.Subscribe == nil {
