Fix: an endpoint that comes up at the address of an earlier one is no longer taken for it

Callers saw (other deployments): a new process at the address of one that had gone was taken for the old one; work went to the wrong place. Traced by orders of events: where the list omits the old entry, the pool retires it with its connections, and nothing was wrong; where the old entry stays beside the new one, for the seconds that lists are late, requests for both IDs reached the one new process, those under the old ID beside its slow start and as an endpoint that has been warm for long. Cause: entries were applied one by one by their ID; nobody compared addresses. Change: an entry whose address another one holds with a later start is passed on as removed, at once, whatever its own state, also when it changes later. With equal starts nothing tells which is out of date, and both stay. Not covered: the time before discovery tells of the new process at all, in which nothing on the wire tells it from the old one.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -76,7 +76,7 @@
 		c.known.receivedAt = c.cfg.Clock.Now()
 		return nil
 	}
-	endpoints := c.decode(list)
+	endpoints := c.known.withSuperseded(c.decode(list))
 	c.known.version, c.known.receivedAt = list.Version, c.cfg.Clock.Now()
 	c.recordUpdate(list, endpoints)
 	c.cfg.Sink.UpdateEndpoints(core.EndpointList{Full: list.Full, Endpoints: endpoints})
@@ -103,7 +103,7 @@
 func (c *Client) applyCached() {
 	list := c.cfg.CachedList
 	list.Full = true
-	c.cfg.Sink.UpdateEndpoints(core.EndpointList{Full: true, Endpoints: c.decode(list)})
+	c.cfg.Sink.UpdateEndpoints(core.EndpointList{Full: true, Endpoints: c.known.withSuperseded(c.decode(list))})
 }
 
 // recordUpdate records and logs that a list was applied.
