Fix: the time for which a request waited unread counts against its deadline; the soak draws the pictures

Cause: the time of a request counted from when the agent read it; under a crowd or less than a core it waits before, in the accept queue or in the receive buffer. TestSinceLastReceivedTellsHowLongBytesHaveWaited. A request that came over 0.7 s after SIGTERM and is cut off by that kill counts as lost.

--- a/cmd/ryeweir/soak.go
+++ b/cmd/ryeweir/soak.go
@@ -106,7 +106,7 @@
 			return false, err
 		}
 	}
-	result, err := soak.Run(ctx, plan, soak.Options{Program: program, Dir: dir, PlantedFaults: flags.plant, Out: out})
+	result, err := soak.Run(ctx, plan, soak.Options{Program: program, MemoryChecked: true, Dir: dir, PlantedFaults: flags.plant, Out: out})
 	if err != nil {
 		return false, err
 	}
@@ -168,18 +168,19 @@
 
 // soakBackendCommand returns the hidden command that runs a backend of a soak. It prints the address on which the backend listens.
 func soakBackendCommand() *cobra.Command {
-	var id string
+	var id, listen string
 	var instance int
 	var seed uint64
 	cmd := &cobra.Command{Use: "soak-backend", Hidden: true, Args: cobra.NoArgs, Short: "Run a backend of a soak",
 		RunE: func(command *cobra.Command, _ []string) error {
-			l, err := net.Listen("tcp", "127.0.0.4:0")
+			l, err := net.Listen("tcp", listen)
 			if err != nil {
 				return err
 			}
 			fmt.Fprintln(command.OutOrStdout(), l.Addr())
 			return soak.RunBackend(command.Context(), l, id, instance, seed, command.InOrStdin(), command.OutOrStdout())
 		}}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.4:0", "address to listen on")
 	cmd.Flags().StringVar(&id, "id", "", "ID of the backend in the endpoint list")
 	cmd.Flags().IntVar(&instance, "instance", 1, "number of this process among those of the same backend")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the backend's random behavior")
--- a/internal/connlimit/request.go
+++ b/internal/connlimit/request.go
@@ -4,6 +4,9 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
+
+	"ryeweir/internal/socket"
 )
 
 // ConnState is the ConnState hook of the http.Server. It tracks the state that net/http reports for a connection, and holds up connections that
@@ -59,6 +62,16 @@
 	c.answerDecided = true
 }
 
+// WaitedUnread returns how long ago the last byte of a request arrived that has just been read: it may have waited in the kernel, for the accept of
+// its connection or for its turn. Bytes that follow the request make it too short.
+func WaitedUnread(ctx context.Context) time.Duration {
+	c, ok := fromContext(ctx)
+	if !ok {
+		return 0
+	}
+	return socket.SinceLastReceived(c.Conn)
+}
+
 // InputDiscarded reports whether the client of a request has sent so much behind it that bytes were discarded. The connection can carry no
 // further request then.
 func InputDiscarded(ctx context.Context) bool {
--- a/internal/front/http/exchange.go
+++ b/internal/front/http/exchange.go
@@ -92,14 +92,14 @@
 	time.AfterFunc(remaining, x.watchUploadDeadline)
 }
 
-// recordReceived counts the request as received, once, when its last byte has arrived, and returns the current time. It may run
-// in the goroutine of an attempt.
+// recordReceived counts the request as received, once, when its last byte has been read, and returns when that byte arrived: the time of a request
+// counts from then, and it may have waited for the agent. It may run in the goroutine of an attempt.
 func (x *exchange) recordReceived() time.Duration {
 	if x.receipt.receive() {
 		x.server.Metrics.RequestReceived()
 		x.server.Events.Record(event.Event{Kind: event.RequestRead, Request: x.call.ID, Connection: connlimit.ConnectionID(x.ctx)})
 	}
-	return x.server.Clock.Now()
+	return x.server.Clock.Now() - connlimit.WaitedUnread(x.ctx)
 }
 
 // uploadCompleted is called by the attempt that reads the last byte of the body.
--- a/internal/soak/answer.go
+++ b/internal/soak/answer.go
@@ -31,6 +31,7 @@
 	SplitResponse         Mode = "split"        // writes the response in small pieces
 	EarlyResponse         Mode = "early"        // sends an error before the request is complete
 	DelayedReject         Mode = "refuselong"   // as Reject, 50 to 400 ms later
+	PausedResponse        Mode = "pauses"       // pauses within the response body, for up to three quarters of the time allowed
 	CloseIdle             Mode = "crossingidle" // closes a connection after 20 ms without a request
 	ResetAfterHead        Mode = "headoflong"   // sends the head of a long response, and resets the connection before any of the body
 	ResetAfterChunkedHead Mode = "headofchunks" // sends the head of a chunked response, and resets the connection 50 to 200 ms later
@@ -38,7 +39,7 @@
 
 // backendModes are the modes that a plan draws from. A backend tries the modes that are on in this order.
 var backendModes = []Mode{Hang, Reject, ServerError, ResetBefore, ResetMidway, Garbage, StallMidway, SecondResponse, CloseDelimited, Chunked,
-	LongResponse, CloseAfterResponse, SlowResponse, InterimResponses, SplitResponse, EarlyResponse, DelayedReject, CloseIdle, ResetAfterHead, ResetAfterChunkedHead}
+	LongResponse, CloseAfterResponse, SlowResponse, InterimResponses, SplitResponse, EarlyResponse, DelayedReject, PausedResponse, CloseIdle, ResetAfterHead, ResetAfterChunkedHead}
 
 // longResponseBytes is the size of the padding in the body of a LongResponse, far more than an agent buffers.
 const longResponseBytes = 300 << 10
@@ -126,6 +127,12 @@
 		return r.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n", r.normal)
 	},
 	SplitResponse: (*response).writeSplit,
+	PausedResponse: func(r *response) bool {
+		half := r.withoutSecondHalf()
+		r.write(half)
+		r.sleep(0, min(r.attempt.StatedTimeout, 2*time.Second)*3/4)
+		return r.write(r.normal[len(half):])
+	},
 }
 
 // respond writes the response to an attempt in the given mode, and reports whether the connection stays open.
--- a/internal/soak/check_fleet.go
+++ b/internal/soak/check_fleet.go
@@ -9,7 +9,7 @@
 )
 
 // checkAgent checks that each process of an agent runs until it gets SIGTERM or SIGKILL, that it exits without an error after SIGTERM,
-// that its own counts of violated invariants are 0 and that its resident memory stays within maxAgentRSS.
+// that its own counts of violated invariants are 0 and that its resident memory stays within its limit.
 func (check *checker) checkAgent(subject *agent) {
 	subject.mu.Lock()
 	defer subject.mu.Unlock()
@@ -30,7 +30,7 @@
 			check.report("invariant", check.startedAt, nil, "agent %s counted a violated invariant: %s, %d times", subject.name, what, n)
 		}
 	}
-	if subject.maxRSS > maxAgentRSS {
+	if limit := int64(check.plan.MemoryMB) << 20; check.opts.MemoryChecked && subject.maxRSS > limit {
 		check.report("memory", check.startedAt, nil, "the resident memory of agent %s reached %d MiB", subject.name, subject.maxRSS>>20)
 	}
 }
@@ -163,7 +163,7 @@
 					arrivals = append(arrivals, attempt.FirstByteAt)
 				}
 			}
-			check.checkSlowStart(s.id, started, arrivals, capacity)
+			check.checkSlowStart(s.ids[0], started, arrivals, capacity)
 		}
 		s.mu.Unlock()
 	}
--- a/internal/soak/check_request.go
+++ b/internal/soak/check_request.go
@@ -31,7 +31,7 @@
 // it. It excuses a request whose agent was killed before the request ended.
 func (check *checker) checkResponse(request *Request, attempts []Attempt) {
 	incarnation := check.incarnationOf(request)
-	if incarnation.killedAt > 0 && incarnation.killedAt <= request.EndedAt+check.tolerance {
+	if incarnation.killedAt > 0 && incarnation.killedAt <= request.EndedAt+check.tolerance && !check.owedBeforeKill(incarnation, request) {
 		return
 	}
 	for _, f := range incarnation.clientReadFaults { // to the agent, the client's connection failed
@@ -65,6 +65,13 @@
 	}
 }
 
+// owedBeforeKill reports whether a request that SIGKILL cut off was owed its response before: the signal followed a SIGTERM, and the request came
+// so long after that and before the kill that the agent had to answer it at once.
+func (check *checker) owedBeforeKill(incarnation *agentIncarnation, request *Request) bool {
+	return incarnation.termAt > 0 && request.SentAt > incarnation.termAt+killMargin && request.SentAt < incarnation.killedAt-2*check.tolerance &&
+		request.ResponseStartedAt == 0
+}
+
 // outcome returns the error with which the request ended, or its status.
 func (r *Request) outcome() string {
 	if r.Err != "" {
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -19,7 +19,7 @@
 	slowStartRateWindow = 2 * time.Second        // over which the requests to a server in slow start are counted
 	acceptsAfterTerm    = 400 * time.Millisecond // for which an agent accepts new connections after SIGTERM
 	capacityMargin      = 1.2                    // capacity of a server, relative to its share of all requests
-	maxAgentRSS         = agentMemory << 20      // of resident memory, in bytes
+	killMargin          = 700 * time.Millisecond // from the longest deadline to the SIGKILL that follows a SIGTERM
 )
 
 // Violation is an observation that breaks a rule.
@@ -56,7 +56,9 @@
 	result := Result{Plan: r.plan, Lag: time.Duration(r.lag.Load())}
 	for i, s := range r.servers {
 		s.mu.Lock()
-		check.serverIndex[s.id] = i
+		for _, id := range s.ids {
+			check.serverIndex[id] = i
+		}
 		result.Attempts += len(s.attempts)
 		result.Processes += s.instance
 		for _, attempt := range s.attempts {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -37,6 +37,7 @@
 	resets             clientBehavior = "resets"       // resets its connection up to 60 ms after the request
 	halfCloses         clientBehavior = "halfcloses"   // closes its sending side up to 60 ms after the request
 	sendsTrailingBytes clientBehavior = "leavesbehind" // sends the start of a second request, and closes the connection
+	leavesUnread       clientBehavior = "leavesunread" // sends up to 1 MB behind the request, and closes the connection
 	slowWriter         clientBehavior = "slowwriter"   // pauses within the request, up to 700 ms at a time
 	timeoutEdgeWriter  clientBehavior = "edgewriter"   // sends the last byte of the body just before the agent's limit for the body
 	stopsMidway        clientBehavior = "stopsmid"     // stops within the request and leaves the connection open
@@ -182,7 +183,7 @@
 // a new connection.
 func (c *clients) call() {
 	request, requestClass := c.drawRequest()
-	forceNew := request.Behavior == newConnection || request.Behavior == malformed || request.Behavior == sendsTrailingBytes
+	forceNew := request.Behavior == newConnection || request.Behavior == malformed || request.Behavior == sendsTrailingBytes || request.Behavior == leavesUnread
 	for {
 		conn, err := c.connection(forceNew)
 		if err != nil {
--- a/internal/soak/client_send.go
+++ b/internal/soak/client_send.go
@@ -87,7 +87,7 @@
 	request.Complete = true
 	conn.uses++
 	conn.lastResponseAt = time.Now()
-	reusable = !resp.Close && request.ClosedAt == 0 && request.StoppedAt == 0 && request.Behavior != sendsTrailingBytes
+	reusable = !resp.Close && request.ClosedAt == 0 && request.StoppedAt == 0 && request.Behavior != sendsTrailingBytes && request.Behavior != leavesUnread
 	conn.SetDeadline(time.Time{})
 }
 
@@ -146,6 +146,14 @@
 		if !write(head+body, "GET /", c.classes[0].name) {
 			return false
 		}
+	case leavesUnread:
+		if !write(head + body) {
+			return false
+		}
+		request.SentAt = monotonic()
+		conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		io.WriteString(conn, strings.Repeat("z", 17<<10+int(c.randomDuration(0, 1<<20)))) // fails if the agent has answered and closed
+		return true
 	default:
 		if !write(head + body) {
 			return false
@@ -161,7 +169,7 @@
 	var closeSide func()
 	raw := conn.Conn.(*net.TCPConn)
 	switch request.Behavior {
-	case closesEarly, sendsTrailingBytes:
+	case closesEarly, sendsTrailingBytes, leavesUnread:
 		closeSide = func() { raw.Close() }
 	case resets:
 		closeSide = func() { raw.SetLinger(0); raw.Close() }
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"strings"
 	"time"
+
+	"ryeweir/internal/crowd"
 )
 
 // FaultKind is a kind of fault.
@@ -44,13 +46,18 @@
 	DiscoveryPieces  FaultKind = "discovery-pieces"   // lists are sent in small pieces
 	ClientBurst      FaultKind = "client-burst"       // 60% of the requests to the agent have the same misbehavior, except GETs if it needs a body
 	IdleConnections  FaultKind = "client-crowd"       // clients open connections and send nothing on them
+	StrainingCrowd   FaultKind = "client-strain"      // hundreds of clients hold connections with slow or unfinished work
+	RequestFlood     FaultKind = "client-flood"       // six clients send small requests without a pause
+	AgentThrottle    FaultKind = "agent-throttle"     // the agent runs for a quarter of the time, in slices of 25 ms
+	ServerReplaced   FaultKind = "server-replaced"    // a process with a new ID comes up at the address of one that was killed, whose entry stays for a while
 )
 
 // drawnFaultKinds are the kinds that Draw draws from by default. A kind that is listed n times is drawn n times as often.
 var drawnFaultKinds = []FaultKind{AgentTerm, AgentTerm, AgentKill, AgentPause, AgentReload, AgentMove, AgentMoveAndBack, AgentDrain, AgentWriteStall, ClockStep,
 	AcceptFails, ConnectFails, ServerReadFails, ServerWriteFails, ClientReadFails, ShortReads, DiskFails, LogStalls, ServerDrain, ServerDrain,
 	ServerCrash, ServerCrash, ServerPause, ServerMode, ServerMode, ServerMode, ServerResets, PathCut, PathSlow, PathReset, DiscoveryDown,
-	DiscoverySilent, DiscoveryReset, DiscoverySlow, DiscoveryPieces, ClientBurst, ClientBurst, IdleConnections}
+	DiscoverySilent, DiscoveryReset, DiscoverySlow, DiscoveryPieces, ClientBurst, ClientBurst, IdleConnections,
+	StrainingCrowd, StrainingCrowd, RequestFlood, RequestFlood, AgentThrottle, ServerReplaced, ServerReplaced}
 
 // Fault is one fault of a run.
 type Fault struct {
@@ -76,7 +83,7 @@
 	readErrors     = []string{"ECONNRESET", "ETIMEDOUT", "EHOSTUNREACH", "ENETUNREACH", "EIO"}
 	writeErrors    = []string{"ECONNRESET", "EPIPE", "ETIMEDOUT", "EHOSTUNREACH", "ENOBUFS"}
 	clockSteps     = []string{"3s", "-3s", "1h", "-1h"}
-	burstBehaviors = []clientBehavior{closesEarly, resets, halfCloses, slowWriter, longBody, closesInLongBody, shortTimeout, sendsTrailingBytes, stopsMidway}
+	burstBehaviors = []clientBehavior{leavesUnread, closesEarly, resets, halfCloses, slowWriter, longBody, closesInLongBody, shortTimeout, sendsTrailingBytes, stopsMidway}
 )
 
 // pick returns a random element of from.
@@ -93,7 +100,7 @@
 		Duration: 100*time.Millisecond + time.Duration(rng.Float64()*float64(maxFaultDuration-100*time.Millisecond)), Count: 1 + rng.IntN(4)}
 	fault.Target = rng.IntN(plan.Agents)
 	switch fault.Kind {
-	case ServerDrain, ServerCrash, ServerPause, ServerMode, ServerResets, PathCut, PathSlow, PathReset:
+	case ServerDrain, ServerCrash, ServerPause, ServerMode, ServerResets, ServerReplaced, PathCut, PathSlow, PathReset:
 		fault.Target = rng.IntN(plan.Servers)
 	}
 	switch fault.Kind {
@@ -113,6 +120,10 @@
 		fault.Detail = string(pick(rng, backendModes))
 	case ClientBurst:
 		fault.Detail = string(pick(rng, burstBehaviors))
+	case StrainingCrowd:
+		fault.Detail = string(pick(rng, crowd.Behaviors))
+	case RequestFlood:
+		fault.Detail = string(pick(rng, crowd.FloodKinds))
 	}
 	return fault
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -5,21 +5,22 @@
 	"syscall"
 	"time"
 
+	"ryeweir/internal/crowd"
 	"ryeweir/internal/emulator/link"
 )
 
 // inject injects one fault into its target, and returns when the fault has ended.
 func (r *soakRun) inject(ctx context.Context, fault Fault) {
 	switch fault.Kind {
-	case AgentTerm, AgentKill, AgentPause, AgentReload, AgentMove, AgentMoveAndBack, AgentDrain:
+	case AgentTerm, AgentKill, AgentPause, AgentThrottle, AgentReload, AgentMove, AgentMoveAndBack, AgentDrain:
 		r.injectAgentFault(ctx, r.agents[fault.Target], fault)
-	case ServerDrain, ServerCrash, ServerPause, ServerMode, ServerResets:
+	case ServerDrain, ServerCrash, ServerPause, ServerMode, ServerResets, ServerReplaced:
 		r.injectServerFault(ctx, fault.Target, fault)
 	case PathCut, PathSlow, PathReset:
 		r.injectPathFault(ctx, fault)
 	case DiscoveryDown, DiscoverySilent, DiscoveryReset, DiscoverySlow, DiscoveryPieces:
 		r.injectDiscoveryFault(ctx, r.agents[fault.Target], fault)
-	case ClientBurst, IdleConnections:
+	case ClientBurst, IdleConnections, StrainingCrowd, RequestFlood:
 		r.injectClientFault(ctx, fault)
 	case ClockStep:
 		r.stepClocks(fault)
@@ -41,17 +42,7 @@
 	}
 	switch fault.Kind {
 	case AgentTerm:
-		target.mu.Lock()
-		incarnation.termAt = monotonic()
-		target.mu.Unlock()
-		process.signal(syscall.SIGTERM)
-		select {
-		case <-process.ended:
-		case <-time.After(shutdownTimeout):
-			r.reportViolation("end", "agent %d was still running %v after SIGTERM", target.number, shutdownTimeout)
-			process.kill()
-		}
-		r.restartAgent(ctx, target)
+		r.terminate(ctx, target, process, incarnation, fault)
 	case AgentKill:
 		target.mu.Lock()
 		incarnation.killedAt = monotonic()
@@ -67,6 +58,8 @@
 		target.mu.Lock()
 		incarnation.paused = append(incarnation.paused, span{from, monotonic()})
 		target.mu.Unlock()
+	case AgentThrottle:
+		r.throttle(ctx, target, process, incarnation, fault)
 	case AgentReload:
 		process.signal(syscall.SIGHUP)
 	case AgentMove:
@@ -80,6 +73,51 @@
 	}
 }
 
+// terminate sends SIGTERM, in half of the cases within a series of signals, and SIGKILL as early as the platform may: the longest deadline and
+// killMargin later. Then it starts the next process.
+func (r *soakRun) terminate(ctx context.Context, target *agent, process *child, incarnation *agentIncarnation, fault Fault) {
+	if fault.Count%2 == 0 {
+		process.signal(syscall.SIGHUP)
+	}
+	target.mu.Lock()
+	incarnation.termAt = monotonic()
+	target.mu.Unlock()
+	process.signal(syscall.SIGTERM)
+	if fault.Count%2 == 0 {
+		process.signal(syscall.SIGHUP)
+		process.signal(syscall.SIGTERM)
+	}
+	select {
+	case <-process.ended:
+	case <-time.After(r.plan.longestDeadline() + killMargin):
+		target.mu.Lock()
+		incarnation.killedAt = monotonic()
+		target.mu.Unlock()
+		process.kill()
+	}
+	r.restartAgent(ctx, target)
+}
+
+// The slices of a throttled agent.
+const (
+	throttleRun  = 25 * time.Millisecond
+	throttleStop = 75 * time.Millisecond
+)
+
+// throttle stops and continues a process in turn for the duration of the fault.
+func (r *soakRun) throttle(ctx context.Context, target *agent, process *child, incarnation *agentIncarnation, fault Fault) {
+	for end := monotonic() + fault.Duration; monotonic() < end && process.alive(); {
+		process.signal(syscall.SIGSTOP)
+		from := monotonic()
+		sleep(ctx, throttleStop)
+		process.signal(syscall.SIGCONT)
+		target.mu.Lock()
+		incarnation.paused = append(incarnation.paused, span{from, monotonic()})
+		target.mu.Unlock()
+		sleep(ctx, throttleRun)
+	}
+}
+
 // restartAgent starts the next process of an agent and waits until it is ready. It reports a violation if the process does not become ready
 // and no other fault ended it.
 func (r *soakRun) restartAgent(ctx context.Context, a *agent) {
@@ -225,6 +263,8 @@
 		target.mu.Unlock()
 	case ServerDrain:
 		r.drainServer(ctx, number, process, fault)
+	case ServerReplaced:
+		r.replaceServer(ctx, number, process, fault)
 	case ServerCrash:
 		process.kill()
 		sleep(ctx, fault.Duration/3)
@@ -234,7 +274,7 @@
 
 // drainServer lists a server as draining, then as removed, stops its process and starts the next one.
 func (r *soakRun) drainServer(ctx context.Context, number int, process *child, fault Fault) {
-	listed := r.registry.get(r.servers[number].id)
+	listed := r.registry.get(r.servers[number].currentID())
 	if listed.State != ready {
 		return
 	}
@@ -255,22 +295,47 @@
 	r.restartServer(ctx, number)
 }
 
+// replaceServer kills a server and starts a process with another ID at its address. The new entry is listed at once, the old one goes later. Servers
+// with a relay have another address for each process, so that they are left alone.
+func (r *soakRun) replaceServer(ctx context.Context, number int, process *child, fault Fault) {
+	s := r.servers[number]
+	former := r.registry.get(s.currentID())
+	if r.relayPaths[number] != nil || former.State != ready {
+		return
+	}
+	process.kill()
+	s.rename()
+	if !r.restartServerAt(ctx, number, former.Addr) {
+		return
+	}
+	sleep(ctx, fault.Duration)
+	former.State = removed
+	r.registry.set(former)
+}
+
 // restartServer starts the next process of a server and lists it as just started, so that agents put it in slow start.
 func (r *soakRun) restartServer(ctx context.Context, number int) {
+	r.restartServerAt(ctx, number, serverHost+":0")
+}
+
+// restartServerAt is restartServer with an address to listen on. It returns false if the process could not be started and listed.
+func (r *soakRun) restartServerAt(ctx context.Context, number int, addr string) bool {
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	s := r.servers[number]
-	if err := s.start(r.opts.Program, r.drawSeed()); err != nil {
+	if err := s.start(r.opts.Program, r.drawSeed(), addr); err != nil {
 		r.reportViolation("soak", "server %d could not be started: %v", number, err)
-		return
+		return false
 	}
 	s.mu.Lock()
 	s.slowStarts = append(s.slowStarts, monotonic())
 	s.mu.Unlock()
 	if err := r.announce(number, r.timeOfDayMS()); err != nil {
 		r.reportViolation("soak", "server %d could not be listed: %v", number, err)
+		return false
 	}
+	return true
 }
 
 // injectPathFault injects a fault into the path to a server, and records when the path was affected.
@@ -329,15 +394,38 @@
 	}
 }
 
-// injectClientFault makes clients of the target agent misbehave, or opens as many idle connections to the agent as it may have sockets.
+// Sizes of crowds and floods.
+const (
+	strainingClients = 330
+	floodingClients  = 6
+)
+
+// recordOverLimit records that an agent may have been at its limit of connections since a time.
+func (r *soakRun) recordOverLimit(agent int, from time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.overConnectionLimit[agent] = append(r.overConnectionLimit[agent], span{from, monotonic()})
+}
+
+// injectClientFault makes clients of the target agent misbehave, or lets a crowd or a flood of other clients come.
 func (r *soakRun) injectClientFault(ctx context.Context, fault Fault) {
 	c := r.clients[fault.Target]
-	if fault.Kind == IdleConnections {
-		from := monotonic()
-		c.holdIdleConnections(ctx, agentSockets, fault.Duration)
-		r.mu.Lock()
-		r.overConnectionLimit[fault.Target] = append(r.overConnectionLimit[fault.Target], span{from, monotonic()})
-		r.mu.Unlock()
+	from := monotonic()
+	switch fault.Kind {
+	case IdleConnections:
+		c.holdIdleConnections(ctx, r.plan.Descriptors, fault.Duration)
+		r.recordOverLimit(fault.Target, from)
+		return
+	case StrainingCrowd:
+		straining, end := context.WithTimeout(ctx, fault.Duration)
+		defer end()
+		crowd.Hold(straining, c.agent.listen, strainingClients, crowd.Behavior(fault.Detail), r.plan.example(idempotent), r.plan.example(nonIdempotent))
+		r.recordOverLimit(fault.Target, from)
+		return
+	case RequestFlood:
+		flooding, end := context.WithTimeout(ctx, fault.Duration)
+		defer end()
+		crowd.Flood(flooding, c.agent.listen, floodingClients, crowd.FloodKind(fault.Detail), r.plan.example(nonIdempotent))
 		return
 	}
 	c.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -17,16 +17,14 @@
 	serverHost    = "127.0.0.4"
 	pathHost      = "127.0.0.5"
 
-	readyTimeout    = 10 * time.Second // from the start of an agent until it is ready
-	shutdownTimeout = 10 * time.Second // from SIGTERM until an agent has exited
-	scrapeInterval  = 500 * time.Millisecond
-	agentMemory     = 192 // limit of an agent's memory, in MiB
-	agentSockets    = 512 // limit of an agent's open sockets
+	readyTimeout   = 10 * time.Second // from the start of an agent until it is ready
+	scrapeInterval = 500 * time.Millisecond
 )
 
 // Options configure a run.
 type Options struct {
 	Program       string   // the path of the binary with the commands soak-agent and soak-backend
+	MemoryChecked bool     // the program's memory is that of a deployed one: no race detector
 	Dir           string   // for the logs and configuration files of the agents
 	PlantedFaults []string // planted in the agents by faultshim: a name and a probability each
 	Out           io.Writer
--- a/internal/soak/topology.go
+++ b/internal/soak/topology.go
@@ -24,14 +24,14 @@
 // start starts all servers and agents, and waits until the agents are ready. Each server with an odd number gets a relay.
 func (r *soakRun) start(ctx context.Context) error {
 	for i := range r.plan.Servers {
-		s := &server{id: fmt.Sprintf("s%02d", i)}
+		s := &server{ids: []string{fmt.Sprintf("s%02d", i)}}
 		r.servers = append(r.servers, s)
 		var path *relayPath
 		if i%2 == 1 {
 			path = &relayPath{}
 		}
 		r.relayPaths = append(r.relayPaths, path)
-		if err := s.start(r.opts.Program, r.drawSeed()); err != nil {
+		if err := s.start(r.opts.Program, r.drawSeed(), serverHost+":0"); err != nil {
 			return err
 		}
 		s.slowStarts = append(s.slowStarts, 0)
@@ -91,7 +91,7 @@
 			entries = []entry{}
 		}
 		text, _ := json.Marshal(map[string]any{"name": a.name, "listen": listen, "discovery": discovery, "control": control,
-			"seed": fmt.Sprintf("%016x", r.drawSeed()), "limits": map[string]any{"cores": 1.0, "memory_mb": agentMemory, "sockets": agentSockets},
+			"seed": fmt.Sprintf("%016x", r.drawSeed()), "limits": map[string]any{"cores": 1.0, "memory_mb": r.plan.MemoryMB, "sockets": r.plan.Descriptors},
 			"known": map[string]any{"version": 0, "full": true, "servers": entries}, "settings": r.plan.settings(number)})
 		return text
 	}
@@ -107,7 +107,7 @@
 func (r *soakRun) addrOf(agent int) func(entry) string {
 	return func(e entry) string {
 		for i, s := range r.servers {
-			if s.id == e.ID && r.relayPaths[i] != nil && agent%2 == 0 {
+			if s.currentID() == e.ID && r.relayPaths[i] != nil && agent%2 == 0 {
 				r.relayPaths[i].mu.Lock()
 				defer r.relayPaths[i].mu.Unlock()
 				return r.relayPaths[i].addr
@@ -136,7 +136,7 @@
 		path.relay.Set(path.conditions, path.conditions)
 		path.mu.Unlock()
 	}
-	r.registry.set(entry{ID: s.id, Addr: addr, Zone: "z", State: ready, Weight: 1, StartedMS: startedMS})
+	r.registry.set(entry{ID: s.currentID(), Addr: addr, Zone: "z", State: ready, Weight: 1, StartedMS: startedMS})
 	return nil
 }
 
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -107,3 +107,21 @@
 	t.Cleanup(func() { accepted.Close() })
 	return client, accepted
 }
+
+// The time for which bytes have waited in the kernel must be known, also once they have been read, and begin anew with the next bytes.
+func TestSinceLastReceivedTellsHowLongBytesHaveWaited(t *testing.T) {
+	const wait, slack = 300 * time.Millisecond, 50 * time.Millisecond
+	client, accepted := shapedPair(t, 16<<10)
+	io.WriteString(client, "a")
+	time.Sleep(wait)
+	accepted.Read(make([]byte, 1))
+	if since := SinceLastReceived(accepted); since < wait-slack {
+		t.Errorf("%v since bytes that waited for %v", since, wait)
+	}
+	a, b := net.Pipe() // has no socket
+	defer a.Close()
+	defer b.Close()
+	if since := SinceLastReceived(a); since != 0 {
+		t.Errorf("%v without a socket", since)
+	}
+}
