Fix: the timeout that an endpoint is told for a long body counts from its client's last byte

Cause: the whole timeout was stated while part of the body was unread, though the client may have written all of it.

--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"ryeweir/internal/connlimit"
 	"ryeweir/internal/core"
 	"ryeweir/internal/httpmsg"
 	"ryeweir/logic"
@@ -74,6 +75,7 @@
 		Source:          r.Body,
 		SetReadDeadline: http.NewResponseController(w).SetReadDeadline,
 		Length:          r.ContentLength,
+		ArrivedAt:       time.Now().Add(-connlimit.WaitedUnread(r.Context())),
 	}
 	return httpmsg.ReceiveBody(r, upload, s.BodyBudget)
 }
--- a/internal/httpmsg/upload.go
+++ b/internal/httpmsg/upload.go
@@ -25,6 +25,7 @@
 	Source          io.Reader
 	SetReadDeadline func(time.Time) error // of the client's connection
 	Length          int64                 // of the body; negative if unknown
+	ArrivedAt       time.Time             // when the latest bytes arrived before the first read
 
 	received     atomic.Int64              // bytes
 	readBegan    atomic.Pointer[time.Time] // when the read in progress began; nil if there is none
@@ -75,8 +76,11 @@
 // noteRead records a read of n bytes that ended at the given time after a wait.
 func (u *Upload) noteRead(n int, now time.Time, waited time.Duration) {
 	left := u.Length - u.received.Add(int64(n))
-	if left > clientBufferBytes || waited >= emptyWait || u.unfinishedAt.Load() == nil {
+	switch {
+	case left > clientBufferBytes || waited >= emptyWait:
 		u.unfinishedAt.Store(&now)
+	case u.unfinishedAt.Load() == nil:
+		u.unfinishedAt.Store(&u.ArrivedAt)
 	}
 }
 
--- a/internal/upstream/http/write.go
+++ b/internal/upstream/http/write.go
@@ -64,9 +64,14 @@
 
 // remainingTimeout returns the timeout that is sent to the endpoint: the time until the attempt's deadline, but at most Call.Timeout,
 // which begins only with the last byte of the request. While the body still arrives from the client, the attempt's deadline is that
-// of the upload and may be later.
+// of the upload and may be later; Call.Timeout then counts from the latest time at which the client can't have written the last byte.
 func (x *exchange) remainingTimeout() time.Duration {
-	return min(x.attempt.Call.Timeout, max(0, x.attempt.Deadline()-x.Clock.Now()))
+	timeout := x.attempt.Call.Timeout
+	if remainder := x.message.Body.Remainder; remainder != nil && remainder.Upload.Length >= 0 {
+		now := time.Now()
+		timeout -= now.Sub(remainder.Upload.UnfinishedAt(now))
+	}
+	return max(0, min(timeout, x.attempt.Deadline()-x.Clock.Now()))
 }
 
 // appendHead appends the head of the request, including the timeout header.
