Fix: a client's earlier end behind unread bytes is noticed before its request is forwarded

Cause: at the beginning of a request the agent looks for the end only where nothing is unread; the read-ahead found it some ms later, when the attempt had begun. TestEarlierEndBehindUnreadBytesIsNoticedAtOnce (new; without the wait OnDisconnect alone reports false there).

--- a/internal/connlimit/disconnect.go
+++ b/internal/connlimit/disconnect.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"ryeweir/internal/socket"
 )
@@ -35,6 +36,22 @@
 	return false
 }
 
+// settleInterval is the time between two looks at what a client has sent behind its request.
+const settleInterval = time.Millisecond
+
+// SettleInput waits until what the client has sent behind its request by now has been read ahead, but not longer than limit, and reports whether
+// the client has disconnected: its end arrives behind all that it sent. It returns at once if nothing is unread. OnDisconnect must have been called.
+func SettleInput(ctx context.Context, limit time.Duration) (disconnected bool) {
+	c, ok := fromContext(ctx)
+	if !ok {
+		return false
+	}
+	for end := time.Now().Add(limit); unread(c.Conn) && time.Now().Before(end); {
+		time.Sleep(settleInterval)
+	}
+	return closedByPeer(c.Conn) || ClientDisconnected(ctx)
+}
+
 // closedByPeer reports whether the peer has closed or reset a connection on which no bytes wait to be read. It returns false if c
 // has no socket, because that can't be detected then.
 func closedByPeer(c net.Conn) bool {
--- a/internal/connlimit/disconnect_test.go
+++ b/internal/connlimit/disconnect_test.go
@@ -140,3 +140,27 @@
 		t.Errorf("read %q, %v", got, err)
 	}
 }
+
+// Failure: a request that had waited for the agent was forwarded 0.35 s after its client had left, as the end was still behind a megabyte of unread
+// bytes. It must be noticed before anything is done for the request.
+func TestEarlierEndBehindUnreadBytesIsNoticedAtOnce(t *testing.T) {
+	result := make(chan bool, 1)
+	l := New(testkit.Listen(t), 1)
+	l.HeaderTimeout = time.Minute
+	resume := make(chan struct{})
+	serve(t, l, func(_ http.ResponseWriter, r *http.Request) {
+		<-resume
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		BeginRequest(ctx, "r")
+		result <- OnDisconnect(ctx, cancel) || SettleInput(ctx, testTimeout)
+	})
+	c := dial(t, l)
+	c.SetWriteBuffer(1 << 20)
+	io.WriteString(c, get("/a")+strings.Repeat("z", 1<<20))
+	c.Close()
+	close(resume)
+	if !receive(t, "the handler knows", result) {
+		t.Error("the client's end was not noticed")
+	}
+}
--- a/internal/front/http/exchange.go
+++ b/internal/front/http/exchange.go
@@ -67,7 +67,7 @@
 		return
 	}
 	x.call.Deadline = x.recordReceived() + x.call.Timeout
-	if connlimit.OnDisconnect(x.ctx, x.cancelCtx) {
+	if connlimit.OnDisconnect(x.ctx, x.cancelCtx) || connlimit.SettleInput(x.ctx, settleLimit) {
 		x.releaseBody()
 		x.recordAbandoned()
 		panic(http.ErrAbortHandler)
