Fix: a client that left before its long body was submitted is noticed at once

Cause: the wait for the connection's end runs beside the attempt, which began first. Change: the end is looked for once before the call is submitted. TestHangupIsNoticedBehindAnUnreadBody holds it.

--- a/cmd/ryeweir/soak_test.go
+++ b/cmd/ryeweir/soak_test.go
@@ -42,6 +42,34 @@
 	})
 }
 
+// Short runs with the deployed program at the least memory of the platform's pages must break no rule: the race detector's memory is not that of a
+// deployed agent. The plans hold crowds, floods, throttled agents and replaced servers.
+func TestSoakHoldsAtTheLeastMemory(t *testing.T) {
+	program, err := plainProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	strains := soak.FaultKinds{soak.StrainingCrowd, soak.StrainingCrowd, soak.RequestFlood, soak.AgentThrottle, soak.ServerReplaced, soak.ClientBurst, soak.AgentTerm, soak.ServerMode}
+	for _, seed := range []uint64{3, 8} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			plan := soak.Draw(seed, 13*time.Second, strains)
+			plan.MemoryMB = 32
+			r, err := soak.Run(t.Context(), plan, soak.Options{Program: program, MemoryChecked: true, Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d processes, %d requests, %d served, largest agent %d kB, soak process delayed by up to %v", r.Processes, r.Requests, r.Served, r.MaxRSS>>10, r.Lag)
+			if len(r.Violations) > 0 {
+				t.Log(plan.Describe())
+			}
+			for _, v := range r.Violations[:min(len(r.Violations), 10)] {
+				t.Error(v)
+			}
+		})
+	}
+}
+
 // runPlan runs a plan with this test binary as the program; the caller sets RYEWEIR_AS_PROGRAM. plant lists bugs to plant in the agents.
 func runPlan(t *testing.T, plan *soak.Plan, plant ...string) soak.Result {
 	t.Helper()
--- a/internal/connlimit/disconnect_test.go
+++ b/internal/connlimit/disconnect_test.go
@@ -114,8 +114,11 @@
 		t.Run(how, func(t *testing.T) {
 			c, client := acceptPair(t, New(testkit.Listen(t), 1))
 			hungUp := make(chan struct{})
-			stop := OnHangup(ConnContext(t.Context(), c), func() { close(hungUp) })
+			stop, disconnected := OnHangup(ConnContext(t.Context(), c), func() { close(hungUp) })
 			defer stop()
+			if disconnected {
+				t.Fatal("the client has not disconnected")
+			}
 			io.WriteString(client, strings.Repeat("b", 30<<10))
 			select {
 			case <-hungUp:
@@ -124,6 +127,9 @@
 			}
 			disconnect(client.(*net.TCPConn))
 			receive(t, "the client's end is noticed", hungUp)
+			if _, disconnected := OnHangup(ConnContext(t.Context(), c), func() {}); !disconnected {
+				t.Error("an earlier end is not reported at once")
+			}
 		})
 	}
 }
@@ -131,7 +137,7 @@
 // The detection of a client's end must give the connection back to its reader with nothing lost.
 func TestBodyIsReadAfterTheDetectionOfAHangupEnds(t *testing.T) {
 	c, client := acceptPair(t, New(testkit.Listen(t), 1))
-	stop := OnHangup(ConnContext(t.Context(), c), func() { t.Error("notified though the client is there") })
+	stop, _ := OnHangup(ConnContext(t.Context(), c), func() { t.Error("notified though the client is there") })
 	io.WriteString(client, "body")
 	stop()
 	stop()
--- a/internal/front/http/exchange.go
+++ b/internal/front/http/exchange.go
@@ -63,17 +63,26 @@
 	connlimit.BeginRequest(x.ctx, x.call.ID)
 	if x.upload != nil {
 		x.upload.OnComplete = x.uploadCompleted
-		x.upload.BeforeRead = connlimit.OnHangup(x.ctx, x.cancelCtx)
+		stop, disconnected := connlimit.OnHangup(x.ctx, x.cancelCtx)
+		x.upload.BeforeRead = stop
+		if disconnected {
+			x.endUnsubmitted()
+		}
 		return
 	}
 	x.call.Deadline = x.recordReceived() + x.call.Timeout
 	if connlimit.OnDisconnect(x.ctx, x.cancelCtx) || connlimit.SettleInput(x.ctx, settleLimit) {
-		x.releaseBody()
-		x.recordAbandoned()
-		panic(http.ErrAbortHandler)
+		x.endUnsubmitted()
 	}
 }
 
+// endUnsubmitted ends a request whose client has left before it was submitted. It does not return.
+func (x *exchange) endUnsubmitted() {
+	x.releaseBody()
+	x.recordAbandoned()
+	panic(http.ErrAbortHandler)
+}
+
 // watchUploadDeadline ends the call of a long body when its client's deadline may have passed, although the agent has not read the last byte: an
 // endpoint takes the body more slowly than its client has written it.
 func (x *exchange) watchUploadDeadline() {
--- a/internal/socket/hangup.go
+++ b/internal/socket/hangup.go
@@ -23,6 +23,12 @@
 	return raw.Read(func(fd uintptr) bool { return hungUp(int(fd)) })
 }
 
+// HungUp reports whether the peer of a connection has ended it or its sending side, as AwaitHangup does, without waiting.
+func HungUp(c net.Conn) (ended bool) {
+	withDescriptor(c, func(descriptor int) { ended = hungUp(descriptor) })
+	return ended
+}
+
 // hungUp reports whether the peer has ended the connection or its sending side.
 func hungUp(descriptor int) bool {
 	const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
