--- a/internal/connlimit/eviction.go
+++ b/internal/connlimit/eviction.go
@@ -42,9 +42,11 @@
 // awaitCapacity waits until a slot is free, and evicts connections to free one. It returns false if the listener is closed before
 // a slot is free. The lock must be held; it is released during the wait.
 func (l *Listener) awaitCapacity() bool {
+	if len(l.conns) >= l.maxConnections {
+		l.pressure.note(time.Now())
+	}
 	for len(l.conns) >= l.maxConnections && !l.closed {
-		if c := l.evictionCandidate(); c != nil {
-			c.evict()
+		if l.evictSome(l.pressure.evictions()) {
 			l.capacityFreed.Wait()
 			continue
 		}
@@ -55,6 +57,47 @@
 	return len(l.conns) < l.maxConnections
 }
 
+// evictSome evicts up to n connections, and reports whether it evicted any or some are on their way. The lock must be held.
+func (l *Listener) evictSome(n int) bool {
+	for i := range n {
+		c := l.evictionCandidate()
+		if c == nil {
+			return i > 0
+		}
+		c.evict()
+	}
+	return true
+}
+
+// pressure tells a crowd, which needs one slot after another, from a single connection too many. An eviction takes effect when the connection's
+// goroutine has run, so that for a crowd several connections are evicted at a time.
+type pressure struct {
+	last  time.Time // when all slots were last taken at an accept
+	count int       // of such accepts in a row
+}
+
+const (
+	pressureInterval = 20 * time.Millisecond // the longest time between two accepts of a crowd
+	pressureCount    = 16                    // accepts in a row that make a crowd
+	crowdEvictions   = 8                     // connections that are evicted at a time for a crowd
+)
+
+// note records an accept for which all slots were taken.
+func (p *pressure) note(now time.Time) {
+	if now.Sub(p.last) > pressureInterval {
+		p.count = 0
+	}
+	p.count, p.last = p.count+1, now
+}
+
+// evictions returns how many connections to evict at a time.
+func (p *pressure) evictions() int {
+	if p.count < pressureCount {
+		return 1
+	}
+	return crowdEvictions
+}
+
 // evictionCandidate returns the connection to evict next, or nil if no connection may be evicted. The lock must be held.
 func (l *Listener) evictionCandidate() *Conn {
 	for {
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -29,9 +29,10 @@
 	capacityFreed   *sync.Cond // signaled when a slot is free, or when a connection that could not be evicted before can be
 	closed          bool
 	lastAccept      time.Time
-	accepts         bucket // of new connections that are accepted without a pause
-	turns           turns  // of connections over their rate of requests
-	discards        turns  // of connections whose input is discarded
+	accepts         bucket   // of new connections that are accepted without a pause
+	pressure        pressure // of accepts for which all slots were taken
+	turns           turns    // of connections over their rate of requests
+	discards        turns    // of connections whose input is discarded
 	conns           map[*Conn]struct{}
 	lingeringCloses sync.WaitGroup
 }
