Fix: a connection whose request was rejected early gives its place up at once

By the agents' logs accepts then came in bursts of 15 to 25, exactly 0.5 s apart. Change: such a handler ends by http.ErrAbortHandler once its answer is flushed and the rest discarded, and connlimit's own lingering close, which an eviction ends, does the rest. Evictions take connections that discard whatever is unread on them.

--- a/internal/connlimit/disconnect.go
+++ b/internal/connlimit/disconnect.go
@@ -49,7 +49,10 @@
 	for end := time.Now().Add(limit); unread(c.Conn) && time.Now().Before(end); {
 		time.Sleep(settleInterval)
 	}
-	return closedByPeer(c.Conn) || ClientDisconnected(ctx)
+	if closedByPeer(c.Conn) {
+		c.clientLeft()
+	}
+	return ClientDisconnected(ctx)
 }
 
 // closedByPeer reports whether the peer has closed or reset a connection on which no bytes wait to be read. It returns false if c
--- a/internal/connlimit/eviction.go
+++ b/internal/connlimit/eviction.go
@@ -104,7 +104,7 @@
 		now := time.Now()
 		candidate := l.leastUseful(now)
 		switch {
-		case candidate == nil || candidate.closing:
+		case candidate == nil || candidate.closing || candidate.activity == discarding:
 			return candidate
 		case candidate.evictionRank(now) == rankReading && now.Sub(candidate.activityBegan) < requestGrace:
 			return nil
--- a/internal/front/http/answer.go
+++ b/internal/front/http/answer.go
@@ -49,6 +49,15 @@
 	x.server.Metrics.RequestAnswered(x.call.Class, outcome)
 	if x.upload != nil {
 		x.discardUpload(http.NewResponseController(x.writer))
+		endAfterAnswer(x.upload)
+	}
+}
+
+// endAfterAnswer ends a handler whose answer has been written and flushed. If the request has not been read to its end, it does not return: if the
+// handler returned, net/http would hold the connection for another 0.5 s, in which it can't be evicted. connlimit lingers by itself.
+func endAfterAnswer(rest *httpmsg.Remainder) {
+	if !rest.Upload.Complete() {
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/front/http/shed.go
+++ b/internal/front/http/shed.go
@@ -30,4 +30,5 @@
 	connlimit.BeginDiscard(ctx)
 	rest := httpmsg.Remainder{Upload: &httpmsg.Upload{Source: r.Body, SetReadDeadline: control.SetReadDeadline}}
 	rest.Drain()
+	endAfterAnswer(&rest)
 }
