--- a/internal/connlimit/request.go
+++ b/internal/connlimit/request.go
@@ -38,28 +38,29 @@
 	return c, ok
 }
 
-// BeginRequest marks a request as in flight: it must get an answer, and its connection is not evicted until net/http has written
-// that answer.
-func BeginRequest(ctx context.Context, requestID string) {
+// update calls f with the connection of a request, with the lock held. It does nothing if the context has no connection.
+func update(ctx context.Context, f func(c *Conn)) {
 	c, ok := fromContext(ctx)
 	if !ok {
 		return
 	}
-	c.setActivity(requestInFlight)
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.requestID = requestID
+	f(c)
+}
+
+// BeginRequest marks a request as in flight: it must get an answer, and its connection is not evicted until net/http has written
+// that answer.
+func BeginRequest(ctx context.Context, requestID string) {
+	if c, ok := fromContext(ctx); ok {
+		c.setActivity(requestInFlight)
+	}
+	update(ctx, func(c *Conn) { c.requestID = requestID })
 }
 
 // BeginAnswer records that the answer to the request in flight has been decided and is about to be written.
 func BeginAnswer(ctx context.Context) {
-	c, ok := fromContext(ctx)
-	if !ok {
-		return
-	}
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	c.answerDecided = true
+	update(ctx, func(c *Conn) { c.answerDecided = true })
 }
 
 // WaitedUnread returns how long ago the last byte of a request arrived that has just been read: it may have waited in the kernel, for the accept of
@@ -74,25 +75,14 @@
 
 // InputDiscarded reports whether the client of a request has sent so much behind it that bytes were discarded. The connection can carry no
 // further request then.
-func InputDiscarded(ctx context.Context) bool {
-	c, ok := fromContext(ctx)
-	if !ok {
-		return false
-	}
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	return c.readAhead.overrun
+func InputDiscarded(ctx context.Context) (discarded bool) {
+	update(ctx, func(c *Conn) { discarded = c.readAhead.overrun })
+	return discarded
 }
 
 // MarkServed records that an endpoint served the request in flight.
 func MarkServed(ctx context.Context) {
-	c, ok := fromContext(ctx)
-	if !ok {
-		return
-	}
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	c.served = true
+	update(ctx, func(c *Conn) { c.served = true })
 }
 
 // BeginDiscard records that the answer to the request in flight has been written, and that what the client still sends of the request is
@@ -106,13 +96,7 @@
 // MarkAnswerAborted records that the answer to the request in flight was cut short. The connection is then closed without a
 // lingering close, so that the answer does not look complete.
 func MarkAnswerAborted(ctx context.Context) {
-	c, ok := fromContext(ctx)
-	if !ok {
-		return
-	}
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	c.answerAborted = true
+	update(ctx, func(c *Conn) { c.answerAborted = true })
 }
 
 // writeFailed records that a write failed. If an answer had been decided, it is cut short.
@@ -134,12 +118,7 @@
 }
 
 // ClientDisconnected reports whether a read has shown that the client of a request closed or reset its connection.
-func ClientDisconnected(ctx context.Context) bool {
-	c, ok := fromContext(ctx)
-	if !ok {
-		return false
-	}
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	return c.disconnected
+func ClientDisconnected(ctx context.Context) (disconnected bool) {
+	update(ctx, func(c *Conn) { disconnected = c.disconnected })
+	return disconnected
 }
--- a/internal/socket/hangup.go
+++ b/internal/socket/hangup.go
@@ -1,9 +1,7 @@
 package socket
 
 import (
-	"errors"
 	"net"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -12,11 +10,7 @@
 // then, and otherwise the error that ended the wait: the read deadline, the close of the connection, or errors.ErrUnsupported if c has no
 // socket. It reads nothing, but no other goroutine can read from the connection while it waits.
 func AwaitHangup(c net.Conn) error {
-	systemConn, ok := unwrap(c).(syscall.Conn)
-	if !ok {
-		return errors.ErrUnsupported
-	}
-	raw, err := systemConn.SyscallConn()
+	raw, err := rawConn(c)
 	if err != nil {
 		return err
 	}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -24,17 +24,22 @@
 // withDescriptor calls f with the descriptor of the connection's socket, which stays open during the call. It returns
 // errors.ErrUnsupported if there is no socket.
 func withDescriptor(c net.Conn, f func(descriptor int)) error {
-	systemConn, ok := unwrap(c).(syscall.Conn)
-	if !ok {
-		return errors.ErrUnsupported
-	}
-	raw, err := systemConn.SyscallConn()
+	raw, err := rawConn(c)
 	if err != nil {
 		return err
 	}
 	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
+// rawConn returns access to the socket of a connection, or errors.ErrUnsupported if there is none.
+func rawConn(c net.Conn) (syscall.RawConn, error) {
+	systemConn, ok := unwrap(c).(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return systemConn.SyscallConn()
+}
+
 // unwrap returns the innermost connection that c wraps, or c itself if it wraps none.
 func unwrap(c net.Conn) net.Conn {
 	for {
