Fix: what is refused behind a request no longer ends that request; waits count where the agent holds back

Cause: net/http's background read got ErrHeadRefused and took it for the end of the connection. Change: that read discards from then on, as the read-ahead does, until the client's end or its own. TestRefusedHeadBehindARequestDoesNotEndIt fails without it (the request was ended). Also: the kernel's word on how long bytes have waited is used only for 3 s after the listener held back an accept or a turn. Only then do requests wait for long, and the kernel's clock need not be the agent's elsewhere.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -1,10 +1,12 @@
 package connlimit
 
 import (
+	"errors"
 	"net"
 	"time"
 
 	"ryeweir/internal/event"
+	"ryeweir/internal/framing"
 	"ryeweir/internal/socket"
 )
 
@@ -112,6 +114,10 @@
 	for {
 		c.listener.mu.Unlock()
 		n, err = c.Conn.Read(p)
+		if isBackgroundRead(p) && errors.Is(err, framing.ErrHeadRefused) {
+			c.keepReadAhead(nil, nil, true) // what follows the request in flight is no reason to end that request
+			err = c.discardInput()
+		}
 		c.listener.mu.Lock()
 		switch {
 		case c.shouldRetryBackgroundRead(p, err):
--- a/internal/connlimit/disconnect_test.go
+++ b/internal/connlimit/disconnect_test.go
@@ -1,7 +1,9 @@
 package connlimit
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -10,6 +12,7 @@
 	"testing"
 	"time"
 
+	"ryeweir/internal/bodybuffer"
 	"ryeweir/internal/event"
 	"ryeweir/internal/framing"
 	"ryeweir/internal/testkit"
@@ -26,6 +29,13 @@
 func newBlockingServer(t *testing.T) *blockingServer {
 	t.Helper()
 	s := &blockingServer{l: New(testkit.Listen(t), 9), started: make(chan context.Context), release: make(chan struct{}), disconnected: make(chan bool, 1)}
+	s.serve(t)
+	return s
+}
+
+// serve runs the server until the test ends.
+func (s *blockingServer) serve(t *testing.T) {
+	t.Helper()
 	s.l.HeaderTimeout, s.l.Events = time.Minute, event.NewRecorder(slog.New(slog.DiscardHandler))
 	serve(t, s.l, func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
@@ -44,7 +54,6 @@
 			io.WriteString(w, r.URL.Path)
 		}
 	})
-	return s
 }
 
 // Failure: attempts began for clients that had left with more than a buffer unread behind their requests. A client disconnects while its request
@@ -170,3 +179,31 @@
 		t.Error("the client's end was not noticed")
 	}
 }
+
+// Failure: a request was ended without an answer because what its client sent behind it was refused as a head that costs too much. The request in
+// flight must be answered, and its client's end still be noticed.
+func TestRefusedHeadBehindARequestDoesNotEndIt(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		t.Run(fmt.Sprint("the client leaves: ", leaves), func(t *testing.T) {
+			s := &blockingServer{started: make(chan context.Context), release: make(chan struct{}), disconnected: make(chan bool, 1)}
+			s.l = New(framing.Listener{Listener: testkit.Listen(t), Budget: bodybuffer.NewBudget(0)}, 9)
+			s.serve(t)
+			c := dial(t, s.l)
+			io.WriteString(c, get("/a")+strings.Repeat("z", 3<<10))
+			ctx := <-s.started
+			if leaves {
+				c.Close()
+				receive(t, "the client's end is noticed", ctx.Done())
+				<-s.disconnected
+				return
+			}
+			select {
+			case <-ctx.Done():
+				t.Fatal("the request was ended")
+			case <-time.After(50 * time.Millisecond):
+			}
+			s.release <- struct{}{}
+			wantAnswer(t, bufio.NewReader(c), "/a")
+		})
+	}
+}
--- a/internal/connlimit/eviction.go
+++ b/internal/connlimit/eviction.go
@@ -43,7 +43,9 @@
 // a slot is free. The lock must be held; it is released during the wait.
 func (l *Listener) awaitCapacity() bool {
 	if len(l.conns) >= l.maxConnections {
-		l.pressure.note(time.Now())
+		now := time.Now()
+		l.pressure.note(now)
+		l.holdBack(now)
 	}
 	for len(l.conns) >= l.maxConnections && !l.closed {
 		if l.evictSome(l.pressure.evictions()) {
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -29,10 +29,11 @@
 	capacityFreed   *sync.Cond // signaled when a slot is free, or when a connection that could not be evicted before can be
 	closed          bool
 	lastAccept      time.Time
-	accepts         bucket   // of new connections that are accepted without a pause
-	pressure        pressure // of accepts for which all slots were taken
-	turns           turns    // of connections over their rate of requests
-	discards        turns    // of connections whose input is discarded
+	accepts         bucket    // of new connections that are accepted without a pause
+	heldBackAt      time.Time // when an accept or a request was last held back
+	pressure        pressure  // of accepts for which all slots were taken
+	turns           turns     // of connections over their rate of requests
+	discards        turns     // of connections whose input is discarded
 	conns           map[*Conn]struct{}
 	lingeringCloses sync.WaitGroup
 }
@@ -81,7 +82,9 @@
 
 // pauseAccepts keeps accepts to their rate. The lock must be held; it is released during the pause.
 func (l *Listener) pauseAccepts() {
-	if delay := l.acceptDelay(time.Now()); delay > 0 {
+	now := time.Now()
+	if delay := l.acceptDelay(now); delay > 0 {
+		l.holdBack(now)
 		l.mu.Unlock()
 		time.Sleep(delay)
 		l.mu.Lock()
--- a/internal/connlimit/pace.go
+++ b/internal/connlimit/pace.go
@@ -65,11 +65,28 @@
 	return time.Duration(float64(time.Second) / acceptRate)
 }
 
+// heldBackMemory is how long after the listener held something back a request may still have waited for that.
+const heldBackMemory = 3 * time.Second
+
+// holdBack records that an accept or a request is held back now. The lock must be held.
+func (l *Listener) holdBack(now time.Time) { l.heldBackAt = now }
+
+// heldBackSince reports whether an accept or a request was held back after the given time.
+func (l *Listener) heldBackSince(then time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heldBackAt.After(then)
+}
+
 // awaitTurn waits until the connection may begin its next request. It is called by the server's goroutine of the connection, between two
 // requests.
 func (c *Conn) awaitTurn() {
 	c.listener.mu.Lock()
-	delay := c.requestDelay(time.Now())
+	now := time.Now()
+	delay := c.requestDelay(now)
+	if delay > 0 {
+		c.listener.holdBack(now.Add(delay))
+	}
 	c.listener.mu.Unlock()
 	if delay > 0 {
 		time.Sleep(delay)
--- a/internal/connlimit/request.go
+++ b/internal/connlimit/request.go
@@ -63,11 +63,11 @@
 	update(ctx, func(c *Conn) { c.answerDecided = true })
 }
 
-// WaitedUnread returns how long ago the last byte of a request arrived that has just been read: it may have waited in the kernel, for the accept of
-// its connection or for its turn. Bytes that follow the request make it too short.
+// WaitedUnread returns how long ago the last byte of a request arrived that has just been read, if it may have waited because the listener held back
+// accepts or turns, and otherwise 0. Bytes that follow the request make it too short.
 func WaitedUnread(ctx context.Context) time.Duration {
 	c, ok := fromContext(ctx)
-	if !ok {
+	if !ok || !c.listener.heldBackSince(time.Now().Add(-heldBackMemory)) {
 		return 0
 	}
 	return socket.SinceLastReceived(c.Conn)
