Fix: a data race between a lingering close and the last read of its connection

Cause: a lingering close read through framing while the server's last read there was ending; the scanner's state has been shared in this way before, the flag of a refused head made it seen. Change: what is discarded is read below framing.

--- a/internal/connlimit/close.go
+++ b/internal/connlimit/close.go
@@ -88,7 +88,7 @@
 		c.Conn.SetReadDeadline(deadline)
 	}
 	c.listener.mu.Unlock()
-	io.CopyN(io.Discard, c.Conn, lingeringCloseMaxBytes)
+	io.CopyN(io.Discard, c.belowFraming(), lingeringCloseMaxBytes)
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.release()
--- a/internal/connlimit/readahead.go
+++ b/internal/connlimit/readahead.go
@@ -88,10 +88,7 @@
 // discardInput reads and discards until a read fails, in turns with other connections. It reads below framing, to which these bytes mean
 // nothing.
 func (c *Conn) discardInput() error {
-	source := c.Conn
-	if wrapped, ok := source.(interface{ NetConn() net.Conn }); ok {
-		source = wrapped.NetConn()
-	}
+	source := c.belowFraming()
 	scratch := make([]byte, maxReadAhead)
 	for discarded := 0; ; {
 		n, err := source.Read(scratch)
@@ -105,6 +102,15 @@
 	}
 }
 
+// belowFraming returns the connection that framing watches, for bytes that are discarded. Unlike framing's, its Read may run beside another one
+// that is about to end.
+func (c *Conn) belowFraming() net.Conn {
+	if watched, ok := c.Conn.(*framing.Conn); ok {
+		return watched.NetConn()
+	}
+	return c.Conn
+}
+
 // awaitDiscardTurn waits for the next turn of a connection whose input is discarded.
 func (c *Conn) awaitDiscardTurn() {
 	c.listener.mu.Lock()
