--- a/review/rig2/backend.go
+++ b/review/rig2/backend.go
@@ -22,7 +22,8 @@
 // backend is a stand-in of a server. What its answer looks like, the query of a request says: bytes=N (of the body, 2 if absent), rate=N (bytes a
 // second at which it is written, at once if absent), first=N (bytes that are written at once, in a chunk of their own if the answer is chunked)
 // chunked=1 (the rest is one chunk), short=1 (the head tells half of the
-// length) and take=N (bytes a second at which the body of the request is read, at once if absent).
+// length) take=N (bytes a second at which the body of the request is read, at once if absent)
+// and hint=1 (an interim answer, 103, comes before the body is read).
 type backend struct {
 	id    string
 	began func(id string) // called with the ID of each request whose last byte has arrived
@@ -44,6 +45,9 @@
 		}
 		return otherwise
 	}
+	if number("hint", 0) == 1 {
+		w.WriteHeader(http.StatusEarlyHints)
+	}
 	if err := readSlowly(r.Body, number("take", 0)); err != nil {
 		b.note("%s did not get the whole of %s: %v", b.id, id, err)
 		return
@@ -52,7 +56,7 @@
 	time.Sleep(workTime)
 	size, short := number("bytes", 2), number("short", 0) == 1
 	body := bodyOf(id, size)
-	if r.URL.RawQuery == "" {
+	if r.URL.RawQuery == "" || number("hint", 0) == 1 {
 		io.WriteString(w, body)
 		return
 	}
--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -386,3 +386,40 @@
 	}
 	return broken, nil
 }
+
+// playInterim lets servers send an interim answer while a long chunked body still arrives.
+func playInterim(r *run) (broken int, err error) {
+	const bytes, count, patience = 400 << 10, 6, 30 * time.Second
+	servers, err := r.startBackends(5)
+	if err != nil {
+		return 0, err
+	}
+	d, err := r.startDiscovery("discovery", servers)
+	if err != nil {
+		return 0, err
+	}
+	a, err := r.startAgent(d.addr, list{Version: 41, Full: true, Servers: servers}, usualLimits)
+	if err != nil {
+		return 0, err
+	}
+	time.Sleep(2 * time.Second)
+	query := ""
+	if r.trouble {
+		query = "?hint=1"
+	}
+	calls := make([]*call, count)
+	var all sync.WaitGroup
+	for i := range calls {
+		all.Go(func() { calls[i] = r.upload(a.listen, placeOrder, query, bytes, patience) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	all.Wait()
+	for _, c := range calls {
+		r.note("client", "%s", c)
+		if answered := c.endedAt.Sub(c.sentAt); answered > c.class.timeout+lateLimit {
+			broken++
+			r.note("judge", "%s had no final answer %v after its last byte was written, of %v", c.id, answered.Round(time.Millisecond), c.class.timeout)
+		}
+	}
+	return broken, nil
+}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -21,6 +21,8 @@
 	"short":    playShort,
 	"upload":   playUpload,
 	"silence":  playSilence,
+	"interim":  playInterim,
+	"twice":    playTwice,
 	"restart":  playRestart,
 	"chunk":    playChunk,
 	"slowlist": playSlowList,
