--- a/review/rig2/backend.go
+++ b/review/rig2/backend.go
@@ -27,7 +27,9 @@
 type backend struct {
 	id    string
 	began func(id string) // called with the ID of each request whose last byte has arrived
-	note  func(format string, args ...any)
+	// unable is called with the ID of each request whose answer could not be given to its end.
+	unable func(id string)
+	note   func(format string, args ...any)
 }
 
 func (b *backend) serve(l net.Listener) { http.Serve(l, b) }
@@ -82,6 +84,7 @@
 	}
 	if err := writeSlowly(out.Writer, body[first:], number("rate", 0)); err != nil {
 		b.note("%s could not give the rest of %s: %v", b.id, id, err)
+		b.unable(id)
 		return
 	}
 	if chunked {
@@ -166,7 +169,7 @@
 			return nil, err
 		}
 		s := entry(i, l.Addr().String())
-		b := &backend{id: s.ID, began: func(id string) { r.beganWork(s.ID, id) }, note: func(format string, args ...any) { r.note("server", format, args...) }}
+		b := &backend{id: s.ID, began: func(id string) { r.beganWork(s.ID, id) }, unable: r.noteUnable, note: func(format string, args ...any) { r.note("server", format, args...) }}
 		go b.serve(l)
 		servers = append(servers, s)
 	}
@@ -206,6 +209,10 @@
 					r.beganWork(s.ID, id)
 					continue
 				}
+				if id, unable := strings.CutPrefix(lines.Text(), unablePrefix); unable {
+					r.noteUnable(id)
+					continue
+				}
 				r.note("server", "%s", lines.Text())
 			}
 		}()
@@ -214,8 +221,11 @@
 	return servers, processes, nil
 }
 
-// beganPrefix begins the line in which the process of a server tells that it began a request.
-const beganPrefix = "began "
+// What begins the lines in which the process of a server tells that it began a request, or could not give an answer to its end.
+const (
+	beganPrefix  = "began "
+	unablePrefix = "unable "
+)
 
 // serveBackendProcess is the process of one server.
 func serveBackendProcess(id string) {
@@ -230,6 +240,6 @@
 		defer mu.Unlock()
 		fmt.Printf(format+"\n", args...)
 	}
-	b := &backend{id: id, began: func(request string) { note("%s%s", beganPrefix, request) }, note: note}
+	b := &backend{id: id, began: func(request string) { note("%s%s", beganPrefix, request) }, unable: func(request string) { note("%s%s", unablePrefix, request) }, note: note}
 	b.serve(l)
 }
--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -18,9 +18,9 @@
 			continue
 		}
 		judged++
-		if !c.whole || !c.right {
+		if !c.whole && r.couldNotGive(c.id) {
 			cut++
-			r.note("judge", "%s was cut off: the server %s still gave it", c.id, r.serverOf(c.id))
+			r.note("judge", "%s was cut off: the server %s went on giving it and found its connection closed", c.id, r.serverOf(c.id))
 		}
 	}
 	return cut, judged
@@ -70,10 +70,10 @@
 	}
 }
 
-// silenceTime is how long servers fall silent: "for 6 s ... a fifth of the backends fall silent".
-const silenceTime = 6 * time.Second
+// silenceTime is how long a server falls silent, a little under the limit: "for 6 s ... a fifth of the backends fall silent".
+const silenceTime = 5800 * time.Millisecond
 
-// playSilence lets one of five servers fall silent for 6 s while it gives long answers.
+// playSilence lets one of five servers fall silent for 5.8 s while it gives long answers.
 func playSilence(r *run) (broken int, err error) {
 	const size, rate, count = 600_000, 64_000, 25
 	servers, processes, err := r.startBackendProcesses(5)
@@ -343,13 +343,21 @@
 		time.Sleep(pause)
 	}
 	all.Wait()
+	served := 0
 	for _, c := range calls {
 		r.note("client", "%s", c)
+		if c.status == 200 && c.whole {
+			served++
+		}
 		if c.status == 200 && c.whole && !c.right {
 			broken++
 			r.note("judge", "%s was served with %d bytes that look whole; %s made %d for it", c.id, c.read, r.serverOf(c.id), size)
 		}
 	}
+	r.note("judge", "%d of %d requests were served, %d of them cut short", served, count, broken)
+	if served == 0 {
+		return 0, errors.New("no request was served")
+	}
 	return broken, nil
 }
 
@@ -376,7 +384,7 @@
 	for range count {
 		c := r.upload(a.listen, placeOrder, query, bytes, 20*time.Second)
 		r.note("client", "%s", c)
-		if c.sentAt.IsZero() || c.err != nil && !isTimeout(c.err) {
+		if !c.written {
 			return 0, fmt.Errorf("a request was not written: %w", c.err)
 		}
 		if answered := c.endedAt.Sub(c.sentAt); answered > c.class.timeout+lateLimit {
@@ -416,6 +424,9 @@
 	all.Wait()
 	for _, c := range calls {
 		r.note("client", "%s", c)
+		if !c.written {
+			return 0, fmt.Errorf("a request was not written: %w", c.err)
+		}
 		if answered := c.endedAt.Sub(c.sentAt); answered > c.class.timeout+lateLimit {
 			broken++
 			r.note("judge", "%s had no final answer %v after its last byte was written, of %v", c.id, answered.Round(time.Millisecond), c.class.timeout)
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -21,6 +21,7 @@
 	id      string
 	class   class
 	sentAt  time.Time // when its last byte had been written
+	written bool      // all of it was written
 	status  int       // 0 without the head of an answer
 	read    int       // bytes of the body
 	whole   bool      // the answer came to its end
@@ -71,7 +72,7 @@
 	request.WriteString("\r\n")
 	began := time.Now()
 	_, err = io.WriteString(conn, request.String())
-	result.sentAt = time.Now()
+	result.sentAt, result.written = time.Now(), err == nil
 	r.note("client", "%s wrote %d bytes in %v, error %v", result.id, request.Len(), result.sentAt.Sub(began).Round(time.Millisecond), err)
 	if err == nil {
 		err = result.receive(conn, 2)
@@ -94,7 +95,7 @@
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(patience))
 	_, err = io.WriteString(conn, c.head(result.id, query))
-	result.sentAt = time.Now()
+	result.sentAt, result.written = time.Now(), err == nil
 	if err == nil {
 		err = result.receive(conn, size)
 	}
--- a/review/rig2/run.go
+++ b/review/rig2/run.go
@@ -28,6 +28,7 @@
 	out       *bufio.Writer
 	processes []*process
 	work      map[string][]work // what servers began, by request ID
+	unable    map[string]bool   // IDs of the requests whose answer a server could not give to its end
 }
 
 // work is one execution of a request.
@@ -44,6 +45,20 @@
 	r.work[id] = append(r.work[id], work{server, time.Now()})
 }
 
+// noteUnable records that a server could not give an answer to its end.
+func (r *run) noteUnable(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unable[id] = true
+}
+
+// couldNotGive reports whether a server could not give the answer to a request to its end.
+func (r *run) couldNotGive(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.unable[id]
+}
+
 // serverOf returns the server that began a request first, or "".
 func (r *run) serverOf(id string) string {
 	r.mu.Lock()
@@ -68,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &run{trouble: os.Getenv("TROUBLE") != "0", root: root, dir: dir, began: time.Now(), file: file, out: bufio.NewWriter(file), work: map[string][]work{}}, nil
+	return &run{trouble: os.Getenv("TROUBLE") != "0", root: root, dir: dir, began: time.Now(), file: file, out: bufio.NewWriter(file), work: map[string][]work{}, unable: map[string]bool{}}, nil
 }
 
 // note writes one line to the record, with the time since the start in milliseconds.
--- a/review/rig2/twice.go
+++ b/review/rig2/twice.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -88,6 +90,8 @@
 type fullBackend struct {
 	id  string
 	run *run
+
+	seconds *atomic.Int64 // second answers that were sent
 }
 
 func (b *fullBackend) serve(l net.Listener) {
@@ -131,6 +135,7 @@
 				defer mu.Unlock()
 				if read == now {
 					b.run.note("server", "%s answers %s a second time", b.id, r.Header.Get("X-Request-Id"))
+					b.seconds.Add(1)
 					io.WriteString(c, answer)
 				}
 			})
@@ -158,6 +163,7 @@
 func playTwice(r *run) (broken int, err error) {
 	const servers, callers, length = 10, 16, 60 * time.Second
 	var listed []server
+	var seconds atomic.Int64
 	for i := range servers {
 		l, err := listenAsServer()
 		if err != nil {
@@ -168,7 +174,7 @@
 			return 0, err
 		}
 		s := entry(i, addr)
-		go (&fullBackend{id: s.ID, run: r}).serve(l)
+		go (&fullBackend{id: s.ID, run: r, seconds: &seconds}).serve(l)
 		listed = append(listed, s)
 	}
 	d, err := r.startDiscovery("discovery", listed)
@@ -191,7 +197,10 @@
 	for _, line := range twice {
 		r.note("judge", "%s", line)
 	}
-	r.note("judge", "%d of %d orders ran twice; %d were served, %d of them with the answer to another", len(twice), len(r.work), served, foreign)
+	r.note("judge", "%d of %d orders ran twice; %d were served, %d of them with the answer to another; %d answers came a second time", len(twice), len(r.work), served, foreign, seconds.Load())
+	if served == 0 || r.trouble && seconds.Load() == 0 {
+		return 0, errors.New("no order was served, or no answer came a second time")
+	}
 	return len(twice), nil
 }
 
