An answer longer than its Content-Length is not served by part

Cause: one sign, the length in the head, stood for 'whole'. exchange.run looked at the bytes behind a body only to choose what becomes of the connection, and only in the reader's 4 KiB: behind a longer body the surplus waited in the kernel, unseen.

Change: exactBody decides in one place whether a body with a length is whole. It looks at what has arrived behind the body, in the reader and in the socket, before the last bytes are passed on. If that begins no response, the body fails: the attempt may have run, and what was streamed is cut so that it shows. A load report that is longer than its length is malformed.

One more system call for each answer with a length.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -21,6 +21,16 @@
 	return n, errors.Join(err, peekErr)
 }
 
+// InputArrived reports whether a read from a connection would return at once: bytes are waiting, the peer has closed the connection, or the
+// connection has failed. It returns false if that can't be detected: there is no socket, and the connection has no method OpenWithoutInput.
+func InputArrived(c net.Conn) bool {
+	if network, ok := unwrap(c).(interface{ OpenWithoutInput() bool }); ok {
+		return !network.OpenWithoutInput()
+	}
+	_, err := Peek(c)
+	return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, errors.ErrUnsupported)
+}
+
 // withDescriptor calls f with the descriptor of the connection's socket, which stays open during the call. It returns
 // errors.ErrUnsupported if there is no socket.
 func withDescriptor(c net.Conn, f func(descriptor int)) error {
--- a/internal/upstream/http/healthcheck.go
+++ b/internal/upstream/http/healthcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -71,34 +72,56 @@
 		return noResponse(failureResult(err)), state.releaseAfterFailure(conn, err)
 	}
 	response := u.interpretHealthCheck(head, body, kind)
-	if len(body) > maxHealthCheckBody || state.reader.Buffered() > 0 {
+	if body.err != nil || state.reader.Buffered() > 0 {
 		return response, pool.Broken
 	}
 	return response, releaseAfterResponse(head, nil)
 }
 
-// roundTripHealthCheck writes the request and returns the head of the response and up to maxHealthCheckBody+1 bytes of its body.
-func (s *connState) roundTripHealthCheck(conn *pool.Conn, kind healthcheck.RequestKind, deadline time.Time) (*http.Response, []byte, error) {
+// reportBody is the body of the response to a health check. err says why it is no load report, though the head tells of the endpoint's health.
+type reportBody struct {
+	text string
+	err  error
+}
+
+// errReportTooLong means that the body of a health check, with its load report, is over maxHealthCheckBody.
+var errReportTooLong = fmt.Errorf("the load report of a health check is over %d bytes", maxHealthCheckBody)
+
+// readReport reads the body of the response to a health check. It returns an error if the body does not come to an end.
+//
+// Failure: of a body that is over maxHealthCheckBody or longer than its Content-Length only the beginning is read, and the figures of half a report
+// would be believed.
+func readReport(body io.Reader) (reportBody, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxHealthCheckBody+1))
+	switch {
+	case errors.Is(err, errBodyTooLong):
+		return reportBody{err: err}, nil
+	case err != nil:
+		return reportBody{}, err
+	case len(text) > maxHealthCheckBody:
+		return reportBody{err: errReportTooLong}, nil
+	}
+	return reportBody{text: strings.TrimSpace(string(text))}, nil
+}
+
+// roundTripHealthCheck writes the request and returns the head of the response and its body.
+func (s *connState) roundTripHealthCheck(conn *pool.Conn, kind healthcheck.RequestKind, deadline time.Time) (*http.Response, reportBody, error) {
 	if err := conn.SetWriteDeadline(deadline); err != nil {
-		return nil, nil, err
+		return nil, reportBody{}, err
 	}
 	if _, err := io.WriteString(conn, healthCheckRequests[kind]); err != nil {
-		return nil, nil, err
+		return nil, reportBody{}, err
 	}
 	head, err := s.readHead()
 	if err != nil {
-		return nil, nil, err
+		return nil, reportBody{}, err
 	}
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxHealthCheckBody+1))
+	body, err := readReport(head.Body)
 	return head, body, err
 }
 
-// errReportTooLong means that the body of a health check, with its load report, is over maxHealthCheckBody.
-var errReportTooLong = fmt.Errorf("the load report of a health check is over %d bytes", maxHealthCheckBody)
-
-// interpretHealthCheck returns what a response says about the endpoint. Of a body over maxHealthCheckBody only the beginning has been read,
-// which is no report.
-func (u *Upstream) interpretHealthCheck(head *http.Response, body []byte, kind healthcheck.RequestKind) healthcheck.Response {
+// interpretHealthCheck returns what a response says about the endpoint.
+func (u *Upstream) interpretHealthCheck(head *http.Response, body reportBody, kind healthcheck.RequestKind) healthcheck.Response {
 	switch head.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotFound:
@@ -114,12 +137,12 @@
 	if kind != healthcheck.LoadRequest {
 		return response
 	}
-	if len(body) > maxHealthCheckBody {
-		u.OnMalformedReport(errReportTooLong)
+	if body.err != nil {
+		u.OnMalformedReport(body.err)
 		return response
 	}
-	if text := strings.TrimSpace(string(body)); text != "" {
-		response.LoadReport = u.readLoadReport([]string{text})
+	if body.text != "" {
+		response.LoadReport = u.readLoadReport([]string{body.text})
 	}
 	return response
 }
--- a/internal/upstream/http/healthcheck_test.go
+++ b/internal/upstream/http/healthcheck_test.go
@@ -30,6 +30,8 @@
 		"health":            {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nutil=0.5"), healthcheck.HealthRequest, logic.OK, -1, false, 1},
 		"too long":          {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + string(make([]byte, 9000))), healthcheck.LoadRequest, logic.OK, -1, false, 0},
 		"a report too long": {testkit.RespondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2328\r\nutil=0.5,qps=" + strings.Repeat("0", 8987) + "\r\n0\r\n\r\n"), healthcheck.LoadRequest, logic.OK, -1, false, 0},
+		"half a report":     {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nutil=0.54,qps=40"), healthcheck.LoadRequest, logic.OK, -1, false, 0},
+		"a second response": {testkit.RespondWith(strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nutil=0.5", 2)), healthcheck.LoadRequest, logic.OK, 0.5, false, 0},
 		"unhealthy":         {testkit.RespondWith("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), healthcheck.LoadRequest, logic.Rejected, -1, false, 1},
 		"an error":          {testkit.RespondWith("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), healthcheck.LoadRequest, logic.Failed, -1, false, 1},
 		"not found":         {testkit.RespondWith("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"), healthcheck.LoadRequest, logic.Failed, -1, true, 1},
--- a/internal/upstream/http/outcome_test.go
+++ b/internal/upstream/http/outcome_test.go
@@ -53,7 +53,18 @@
 		"negative length":           {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nfine"), logic.Reset, 0},
 		"no length, left open":      {testkit.RespondWith("HTTP/1.1 200 OK\r\n\r\nfine"), logic.Reset, 0},
 		"endless interim responses": {testkit.RespondWith(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2*maxInterimResponses)), logic.Reset, 0},
-		"complete, then noise":      {testkit.RespondWith(testkit.OKResponse + "\x00noise"), logic.OK, 0},
+		// Bytes behind a Content-Length that begin no response may be the rest of a body whose head tells too little. Behind a chunked body, which
+		// marks its own end, they are noise.
+		"body longer than its length": {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfinely made"), logic.Reset, 0},
+		"body without its length":     {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nfine"), logic.Reset, 0},
+		"noise behind a length":       {testkit.RespondWith(testkit.OKResponse + "\x00noise"), logic.Reset, 0},
+		"noise behind chunks":         {testkit.RespondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n\x00noise"), logic.OK, 0},
+		"a response behind chunks":    {testkit.RespondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n" + testkit.OKResponse), logic.OK, 0},
+		"a chunk longer than its size": {testkit.RespondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfinely made\r\n0\r\n\r\n"),
+			logic.Reset, 0},
+		"a 503 longer than its length": {testkit.RespondWith("HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\nbusy"), logic.Reset, 0},
+		"a 503 and a second one": {testkit.RespondWith(strings.Repeat("HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", 2)),
+			logic.Rejected, 0},
 		// A body without a length ends with the connection. An endpoint that dies in the middle of one resets the connection.
 		"no length, then closed": {func(c net.Conn, r *http.Request, n int) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nfine")
--- a/internal/upstream/http/response.go
+++ b/internal/upstream/http/response.go
@@ -27,7 +27,8 @@
 // errInterimResponses means that the first maxInterimResponses responses to a request were all interim ones.
 var errInterimResponses = errors.New("too many interim responses")
 
-// readHead reads the head of the final response. It fails as soon as the received bytes cannot become one.
+// readHead reads the head of the final response. It fails as soon as the received bytes cannot become one. The body fails if it does not fit
+// the length that the head tells.
 func (s *connState) readHead() (*http.Response, error) {
 	if err := checkPrefix(s.reader); err != nil {
 		return nil, err
@@ -37,6 +38,7 @@
 		return nil, fmt.Errorf("%w: %w", errMalformedResponse, err)
 	}
 	s.limited.N = maxResponseBytes
+	s.checkLength(response)
 	return response, nil
 }
 
@@ -68,7 +70,7 @@
 	return nil, errInterimResponses
 }
 
-// discardErrorBody discards the body of a response other than 200 and sets the result: Reset if reading the body fails, otherwise
+// discardErrorBody discards the body of a response other than 200 and sets the result: Reset if reading the body fails or its length does not fit, otherwise
 // Rejected if the response states that the request did not run (see notProcessed), otherwise Failed. The connection is closed if the
 // body reaches httpmsg.MaxBufferedBytes, because reading the rest costs more than a new connection.
 func (x *exchange) discardErrorBody(response *http.Response) pool.ReleaseOutcome {
