A silent endpoint is given up after 8 s, and what flows outlives the drain

Cause: one sign, 5 s without a byte, stood for 'will never come': streamStallTimeout in both directions, drainStreamTimeout at the end of a process.

Change: httpmsg.LongestSilence and httpmsg.EndpointStallTimeout (8 s: TCP sends again up to 2 s after a silence) are the one place for all stages. What flows after SIGTERM has the time that 32 MiB take at the slowest rate of a client (69 minutes), so that the platform or drain.longest decides.

Loss: what an endpoint that stays silent holds it holds 3 s longer; without a kill an answer that trickles on for ever keeps the process for 69 minutes.

--- a/internal/front/http/config.go
+++ b/internal/front/http/config.go
@@ -7,6 +7,7 @@
 	"ryeweir/internal/bodybuffer"
 	"ryeweir/internal/core"
 	"ryeweir/internal/event"
+	"ryeweir/internal/httpmsg"
 	"ryeweir/internal/invariant"
 	"ryeweir/internal/metrics"
 	"ryeweir/internal/socket"
@@ -55,8 +56,10 @@
 	drainIdleTimeout   = time.Second            // of idle connections during a drain; their clients have other connections, or are going away
 	drainSweepInterval = 250 * time.Millisecond // between two searches for idle connections during a drain
 	drainPollInterval  = 5 * time.Millisecond   // between two checks whether the drain is complete
-	drainStreamTimeout = 5 * time.Second        // for answers that are being written when the time for requests is over
-	maxCountedDeadline = 3 * time.Second        // the longest request deadline that the platform's restart waits for
+	// drainStreamTimeout is the time for answers that are being written when the time for requests is over. No sound answer needs it: the
+	// platform decides when a process that still passes on answers is killed.
+	drainStreamTimeout = httpmsg.MaxAnswerDuration
+	maxCountedDeadline = 3 * time.Second // the longest request deadline that the platform's restart waits for
 )
 
 // Before the agent's own listener closes, a drain accepts the connections in the kernel's accept queue, which would be reset
--- a/internal/front/http/drain.go
+++ b/internal/front/http/drain.go
@@ -15,7 +15,7 @@
 //  2. The listener closes. The kernel may take more of the answers that are left. Requests in flight continue until all connections have closed or requestLimit has passed.
 //  3. The core ends all calls that are still in progress, so that their requests are answered. Without this step the end of the process
 //     would cut them off.
-//  4. Answers that are being written continue until they are complete or streamLimit has passed.
+//  4. Answers that are being written continue until they are complete, their endpoint or client stalls, or streamLimit has passed.
 //
 // serveErr receives the error of http.Server.Serve, which returns when the listener closes.
 func (s *Server) drain(ctx context.Context, clientListener *connlimit.Listener, inherited bool, serveErr <-chan error) {
--- a/internal/httpmsg/message.go
+++ b/internal/httpmsg/message.go
@@ -18,6 +18,17 @@
 	UploadStallTimeout = 2200 * time.Millisecond
 	// MaxUploadDuration is the time that a body of MaxBodyBytes takes at MinUploadRate, plus a margin of one minute.
 	MaxUploadDuration = MaxBodyBytes/MinUploadRate*time.Second + time.Minute
+	// MaxAnswerDuration is the same for a body that is passed on to a client, which must take it at the same rate.
+	MaxAnswerDuration = MaxUploadDuration
+)
+
+// Limits on silence.
+const (
+	// LongestSilence is the time for which a working endpoint may be unreachable or stopped in the middle of an exchange. It then goes on.
+	LongestSilence = 6 * time.Second
+	// EndpointStallTimeout is how long an endpoint may send nothing in the middle of a response, or take nothing of a request. What is lost
+	// during a silence is sent again up to two seconds after it.
+	EndpointStallTimeout = LongestSilence + 2*time.Second
 )
 
 // TimeoutHeader is the header that states how long the answer to a request may take.
--- a/internal/upstream/http/body.go
+++ b/internal/upstream/http/body.go
@@ -131,7 +131,7 @@
 func (s *bodyStream) start() {
 	x := s.exchange
 	if x.reported.CompareAndSwap(false, true) {
-		x.conn.SetReadDeadline(time.Now().Add(streamStallTimeout)) // also applies to a read in progress
+		x.conn.SetReadDeadline(time.Now().Add(httpmsg.EndpointStallTimeout)) // also applies to a read in progress
 		x.attempt.Report(x.outcome)
 	}
 }
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"ryeweir/internal/core"
 	"ryeweir/internal/event"
@@ -13,9 +12,6 @@
 	"ryeweir/logic"
 )
 
-// streamStallTimeout is how long an endpoint may send nothing in the middle of a response, or take nothing of a streamed request.
-const streamStallTimeout = 5 * time.Second
-
 // exchange is an attempt with its connection, from the first byte of the request on.
 type exchange struct {
 	*Upstream
@@ -68,27 +64,6 @@
 	}
 }
 
-// readDeadline returns when a read that began at the given time must have returned bytes of the response. The time is zero before the first ones.
-//
-// A pause does not tell a response that is damaged from one that its endpoint is still writing, so that the limit on it is the same whether the
-// response is streamed or buffered. A late response is hedged where the class allows it (package logic).
-func (x *exchange) readDeadline(readBegan time.Time) time.Time {
-	if cutoff := x.readCutoff.Load(); cutoff != 0 {
-		return x.Clock.At(time.Duration(cutoff))
-	}
-	if x.reported.Load() {
-		return readBegan.Add(streamStallTimeout)
-	}
-	attemptDeadline := x.Clock.At(x.attempt.Deadline())
-	if readBegan.IsZero() {
-		return attemptDeadline
-	}
-	if stalled := readBegan.Add(streamStallTimeout); stalled.Before(attemptDeadline) {
-		return stalled
-	}
-	return attemptDeadline
-}
-
 // failWrite ends an exchange whose request was not written completely, and so never ran.
 func (x *exchange) failWrite(err error) pool.ReleaseOutcome {
 	if x.message.Body.Err() != nil {
--- a/internal/upstream/http/write.go
+++ b/internal/upstream/http/write.go
@@ -22,7 +22,7 @@
 )
 
 // endpointStallLimit ends the write of a body to an endpoint that does not read it.
-var endpointStallLimit = socket.StallLimit{Timeout: streamStallTimeout, MinRate: httpmsg.MinUploadRate}
+var endpointStallLimit = socket.StallLimit{Timeout: httpmsg.EndpointStallTimeout, MinRate: httpmsg.MinUploadRate}
 
 // errAnsweredEarly ends the write of a request when its response starts to arrive.
 var errAnsweredEarly = errors.New("endpoint answered before it received the whole request")
