A long request without a length is answered in its client's time

Cause: one sign, an unknown length, stood for 'no deadline': watchUploadDeadline returned at once without a length. The time of a request was reckoned in four places, each in its own way.

Change: httpmsg.Upload.Elapsed is the one place: how much of the time may have passed. The client is known to be unfinished while the agent waits for it, and while more is left, by the length or by what has been read since, than the kernels hold. The watch, the timeout told to the endpoint, the deadline after the last byte read and the attempt's after the last one written ask there. Before a request ends as late, Remainder.ReadAhead reads on ahead of the attempt, on the spare half of the body budget, to see whether the client still writes.

Loss: a body of several MiB without a length, whose endpoint is slow for longer than the request's time, is answered 502 while its client writes on, where the spare budget does not suffice. A look ahead takes up to half of the body budget, for as long as such a request is open.

--- a/internal/agent/silence_test.go
+++ b/internal/agent/silence_test.go
@@ -100,6 +100,40 @@
 	})
 }
 
+// Guards against a request that is ended as late while its client still writes it, because its endpoint takes nothing for a while and the client's
+// bytes wait unread.
+func TestSlowUploadOutlastsTheSilenceOfItsEndpoint(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprint("chunked ", chunked), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				const pieces, piece = 190, 4 << 10 // at 64 kB a second; what a link holds is written by half of the time
+				a := startScriptedAgent(t, []peer.Step{peer.Wait(time.Second + httpmsg.LongestSilence), peer.Forever(peer.Request(), peer.Send(peer.OK("fine")))})
+				defer a.close()
+				head, before, after := requestHead("POST", "/place-order", pieces*piece), "", ""
+				if chunked {
+					head = strings.Replace(head, fmt.Sprintf("Content-Length: %d", pieces*piece), "Transfer-Encoding: chunked", 1)
+					before, after = fmt.Sprintf("%x\r\n", piece), "\r\n"
+				}
+				client := a.connectAndWrite(head)
+				defer client.Close()
+				go func() {
+					for range pieces {
+						io.WriteString(client, before+strings.Repeat("x", piece)+after)
+						time.Sleep(62 * time.Millisecond)
+					}
+					if chunked {
+						io.WriteString(client, "0\r\n\r\n")
+					}
+				}()
+				if status, complete, _ := readAnswer(client); status != http.StatusOK || !complete {
+					t.Errorf("status %d, complete %v", status, complete)
+				}
+			})
+		})
+	}
+}
+
 // An endpoint that does not go on after the longest silence must be given up, or its requests would hold connections and memory for ever.
 func TestEndpointThatStaysSilentIsGivenUp(t *testing.T) {
 	for name, script := range pausingAnswers() {
--- a/internal/bodybuffer/budget.go
+++ b/internal/bodybuffer/budget.go
@@ -3,7 +3,10 @@
 import "sync/atomic"
 
 // Budget limits the total size of the buffers that all exchanges share. It is safe for concurrent use.
-type Budget struct{ available atomic.Int64 }
+type Budget struct {
+	available atomic.Int64
+	size      atomic.Int64
+}
 
 // minReservation is the size, in bytes, that is granted even if the budget is exhausted.
 //
@@ -14,7 +17,7 @@
 // NewBudget returns a budget of size bytes.
 func NewBudget(size int64) *Budget {
 	b := &Budget{}
-	b.available.Store(size)
+	b.Grow(size)
 	return b
 }
 
@@ -35,10 +38,16 @@
 
 // TryReserve reserves want bytes if they are available, and reports whether it did. It does not block. The caller must return the bytes with
 // Release.
-func (b *Budget) TryReserve(want int) bool {
+func (b *Budget) TryReserve(want int) bool { return b.tryReserve(want, 0) }
+
+// TryReserveSpare is TryReserve for what the process can do without: it leaves half of the budget to others.
+func (b *Budget) TryReserveSpare(want int) bool { return b.tryReserve(want, b.size.Load()/2) }
+
+// tryReserve reserves want bytes if as many as leave remain available.
+func (b *Budget) tryReserve(want int, leave int64) bool {
 	for {
 		available := b.available.Load()
-		if available < int64(want) {
+		if available-int64(want) < leave {
 			return false
 		}
 		if b.available.CompareAndSwap(available, available-int64(want)) {
@@ -48,4 +57,7 @@
 }
 
 // Grow adds bytes to the budget; a negative number takes them away.
-func (b *Budget) Grow(bytes int64) { b.available.Add(bytes) }
+func (b *Budget) Grow(bytes int64) {
+	b.size.Add(bytes)
+	b.available.Add(bytes)
+}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -57,10 +57,11 @@
 // Otherwise a call that ends while its attempt waits for a connection could be answered as not executed, and be executed later.
 func (a *Attempt) Begin() bool { return a.claim.CompareAndSwap(unclaimed, begun) }
 
-// BodyWritten reports when the end of a pending body was written. The call's timeout starts at that time.
-func (a *Attempt) BodyWritten(now time.Duration) {
+// BodyWritten reports when the end of a pending body was written, and how much of the call's timeout had passed by then: the client may have
+// written it before.
+func (a *Attempt) BodyWritten(now, elapsed time.Duration) {
 	a.writtenAt.Store(int64(now))
-	a.deadline.Store(int64(now + a.Call.Timeout))
+	a.deadline.Store(int64(now + a.Call.Timeout - elapsed))
 }
 
 // AwaitingSince returns the time on the core's clock from which on an answer can be expected: SentAt, or when the end of a pending
--- a/internal/front/http/config.go
+++ b/internal/front/http/config.go
@@ -72,7 +72,9 @@
 // Limits on requests.
 const (
 	// settleLimit is how long a request waits for what its client has sent behind it to be read, so that a client that has left is noticed.
-	settleLimit       = 30 * time.Millisecond
+	settleLimit = 30 * time.Millisecond
+	// lookAheadTime is how long a look at what the client has written of a long body may take before its request ends.
+	lookAheadTime     = 20 * time.Millisecond
 	maxHeaderBytes    = 16 << 10
 	maxRequestIDBytes = 128
 	// deadlineMargin is how long before its client's deadline a call ends, so that the answer reaches the client in time.
--- a/internal/front/http/exchange.go
+++ b/internal/front/http/exchange.go
@@ -70,7 +70,8 @@
 		}
 		return
 	}
-	x.call.Deadline = x.recordReceived() + x.call.Timeout
+	x.recordReceived()
+	x.call.Deadline = x.server.Clock.Now() - connlimit.WaitedUnread(x.ctx) + x.call.Timeout
 	if connlimit.OnDisconnect(x.ctx, x.cancelCtx) || connlimit.SettleInput(x.ctx, settleLimit) {
 		x.endUnsubmitted()
 	}
@@ -84,36 +85,37 @@
 }
 
 // watchUploadDeadline ends the call of a long body when its client's deadline may have passed, although the agent has not read the last byte: an
-// endpoint takes the body more slowly than its client has written it.
-func (x *exchange) watchUploadDeadline() {
+// endpoint takes the body more slowly than its client has written it. Before that it looks whether the client still writes. lookedAhead says that it
+// has just done so.
+func (x *exchange) watchUploadDeadline(lookedAhead bool) {
 	if x.ctx.Err() != nil || x.upload.Upload.Complete() {
 		return
 	}
-	if x.upload.Upload.Length < 0 {
-		return // nothing tells how much the client has still to write
-	}
-	now := time.Now()
-	remaining := x.upload.Upload.UnfinishedAt(now).Add(x.call.Timeout).Sub(now)
-	if remaining <= 0 {
+	remaining := x.call.Timeout - x.upload.Upload.Elapsed(time.Now())
+	switch {
+	case remaining > 0:
+		time.AfterFunc(remaining, func() { x.watchUploadDeadline(false) })
+	case !lookedAhead:
+		go x.upload.ReadAhead()
+		time.AfterFunc(lookAheadTime, func() { x.watchUploadDeadline(true) })
+	default:
 		x.server.Core.UploadExpired(x.call)
-		return
 	}
-	time.AfterFunc(remaining, x.watchUploadDeadline)
 }
 
-// recordReceived counts the request as received, once, when its last byte has been read, and returns when that byte arrived: the time of a request
-// counts from then, and it may have waited for the agent. It may run in the goroutine of an attempt.
-func (x *exchange) recordReceived() time.Duration {
+// recordReceived counts the request as received, once, when its last byte has been read. It may run in the goroutine of an attempt.
+func (x *exchange) recordReceived() {
 	if x.receipt.receive() {
 		x.server.Metrics.RequestReceived()
 		x.server.Events.Record(event.Event{Kind: event.RequestRead, Request: x.call.ID, Connection: connlimit.ConnectionID(x.ctx)})
 	}
-	return x.server.Clock.Now() - connlimit.WaitedUnread(x.ctx)
 }
 
-// uploadCompleted is called by the attempt that reads the last byte of the body.
+// uploadCompleted is called by the goroutine that reads the last byte of the body. When that byte arrived does not tell when the client wrote it: it
+// may have waited in the client's kernel until the agent read on.
 func (x *exchange) uploadCompleted() {
-	x.server.Core.BodyReceived(x.call, x.recordReceived())
+	x.recordReceived()
+	x.server.Core.BodyReceived(x.call, x.server.Clock.Now()-x.upload.Upload.Elapsed(time.Now()))
 	if connlimit.OnDisconnect(x.ctx, x.cancelCtx) {
 		x.cancelCtx()
 	}
@@ -153,7 +155,7 @@
 	x.call.Release = x.releaseBody
 	answers := x.server.Core.Submit(x.call)
 	if x.upload != nil {
-		x.watchUploadDeadline()
+		x.watchUploadDeadline(false)
 	}
 	return answers
 }
--- a/internal/httpmsg/body.go
+++ b/internal/httpmsg/body.go
@@ -50,7 +50,11 @@
 	case err == io.EOF && (body.Length < 0 || n == body.Length), err == nil && n == body.Length:
 		body.Length = n
 	case err == nil:
-		body.Remainder = &Remainder{Upload: upload}
+		body.Remainder = &Remainder{Upload: upload, Budget: budget}
+		release = func() {
+			body.Remainder.Discard()
+			budget.Release(granted)
+		}
 	default:
 		release()
 		return body, nil, err
--- a/internal/httpmsg/upload.go
+++ b/internal/httpmsg/upload.go
@@ -12,7 +12,7 @@
 // errRequestEnded means that no more of a body is read because its request has ended.
 var errRequestEnded = errors.New("the client's request has ended")
 
-// Upload reads a body from a client as long as the upload makes progress.
+// Upload reads a body from a client as long as the upload makes progress. Only one goroutine may read it at a time.
 //
 // The body must arrive at MinUploadRate or faster, measured over the time for which reads have waited for the client, with
 // UploadStallTimeout as a head start. It must never pause for longer than UploadStallTimeout. This guards against clients that occupy
@@ -20,16 +20,15 @@
 // endpoint then, while the client's bytes wait for the agent.
 //
 // The time of a request counts from its last byte, which its client may have written long before the agent reads it, when an endpoint takes the
-// body slowly: see UnfinishedAt.
+// body slowly: see Elapsed.
 type Upload struct {
 	Source          io.Reader
 	SetReadDeadline func(time.Time) error // of the client's connection
 	Length          int64                 // of the body; negative if unknown
 	ArrivedAt       time.Time             // when the latest bytes arrived before the first read
 
-	received     atomic.Int64              // bytes
-	readBegan    atomic.Pointer[time.Time] // when the read in progress began; nil if there is none
-	unfinishedAt atomic.Pointer[time.Time] // when the agent last stopped waiting for the client; nil before the first read
+	received atomic.Int64 // bytes
+	progress clientProgress
 
 	waited  time.Duration // for which reads have waited for the client
 	stopped atomic.Bool   // stop has interrupted the reading at least once; resume does not reset it
@@ -47,9 +46,9 @@
 	if err := u.setDeadline(u.nextDeadline(began)); err != nil {
 		return 0, err
 	}
-	u.readBegan.Store(&began)
+	u.progress.readBegan.Store(&began)
 	n, err := u.Source.Read(p)
-	u.readBegan.Store(nil)
+	u.progress.readBegan.Store(nil)
 	waited := time.Since(began)
 	u.waited += waited
 	u.noteRead(n, began.Add(waited), waited)
@@ -64,39 +63,6 @@
 	return n, err
 }
 
-// Limits of what the client may have written ahead of the agent's reads.
-const (
-	// clientBufferBytes is how much of a body the kernels can hold between a client that has written it and the agent: by default Linux lets a
-	// send buffer grow to 4 MiB.
-	clientBufferBytes = 4 << 20
-	// emptyWait is the wait of a read from which it counts as having found nothing to read.
-	emptyWait = time.Millisecond
-)
-
-// noteRead records a read of n bytes that ended at the given time after a wait.
-func (u *Upload) noteRead(n int, now time.Time, waited time.Duration) {
-	left := u.Length - u.received.Add(int64(n))
-	switch {
-	case left > clientBufferBytes || waited >= emptyWait:
-		u.unfinishedAt.Store(&now)
-	case u.unfinishedAt.Load() == nil:
-		u.unfinishedAt.Store(&u.ArrivedAt)
-	}
-}
-
-// UnfinishedAt returns the latest time until now at which the client can't have written the last byte of the body: more was left than the kernels
-// between them can hold, or the agent waited for the client. It is the zero time before the first read, and of no use if the length is unknown.
-// It may be called from any goroutine.
-func (u *Upload) UnfinishedAt(now time.Time) time.Time {
-	if began := u.readBegan.Load(); began != nil && now.Sub(*began) >= emptyWait || u.Length-u.received.Load() > clientBufferBytes {
-		return now
-	}
-	if at := u.unfinishedAt.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
-}
-
 // nextDeadline returns the time by which more bytes must arrive for a read that begins now.
 func (u *Upload) nextDeadline(now time.Time) time.Time {
 	byRate := UploadStallTimeout + time.Duration(u.received.Load())*time.Second/MinUploadRate - u.waited
--- a/internal/upstream/http/write.go
+++ b/internal/upstream/http/write.go
@@ -27,6 +27,9 @@
 // errAnsweredEarly ends the write of a request when its response starts to arrive.
 var errAnsweredEarly = errors.New("endpoint answered before it received the whole request")
 
+// errRequestFinished ends the write of a long body whose request has been answered or abandoned.
+var errRequestFinished = errors.New("the request has ended")
+
 // writeResult describes how much of a request was written.
 type writeResult struct {
 	err      error // why the request was not written completely; nil if it was
@@ -67,9 +70,8 @@
 // of the upload and may be later; Call.Timeout then counts from the latest time at which the client can't have written the last byte.
 func (x *exchange) remainingTimeout() time.Duration {
 	timeout := x.attempt.Call.Timeout
-	if remainder := x.message.Body.Remainder; remainder != nil && remainder.Upload.Length >= 0 {
-		now := time.Now()
-		timeout -= now.Sub(remainder.Upload.UnfinishedAt(now))
+	if remainder := x.message.Body.Remainder; remainder != nil {
+		timeout -= remainder.Upload.Elapsed(time.Now())
 	}
 	return max(0, min(timeout, x.attempt.Deadline()-x.Clock.Now()))
 }
@@ -122,7 +124,7 @@
 	if err := writer.Flush(); err != nil {
 		return err
 	}
-	x.attempt.BodyWritten(x.Clock.Now())
+	x.attempt.BodyWritten(x.Clock.Now(), x.message.Body.Remainder.Upload.Elapsed(time.Now()))
 	return nil
 }
 
@@ -182,13 +184,16 @@
 	return watch
 }
 
-// newSender returns a sender that writes to the endpoint while the endpoint takes what is written and no response has started.
+// newSender returns a sender that writes to the endpoint while the endpoint takes what is written, no response has started and the request is open.
 func (x *exchange) newSender(watch *responseWatch) *socket.Sender {
 	sender := socket.NewSender(x.conn.Conn, endpointStallLimit)
 	sender.Interrupted = func() error {
 		if watch.answered.Load() {
 			return errAnsweredEarly
 		}
+		if x.attempt.Call.Finished() {
+			return errRequestFinished
+		}
 		return nil
 	}
 	return sender
