Only a final response ends a long upload

Cause: one sign, the first byte of anything, stood for 'the answer'. watchForResponse stopped the upload at it, and the limit on a pause within a response began at it, so that the endpoint was given up although its answer was not due.

Change: connState.readHead, the one place that says which message is final, runs beside the write of a long request; only a final head, or what can't become one, ends the upload. deadlineReader knows whether a response is awaited or under way and alone sets the read deadline; three places set it past its back before.

--- a/internal/agent/silence_test.go
+++ b/internal/agent/silence_test.go
@@ -107,27 +107,12 @@
 		t.Run(fmt.Sprint("chunked ", chunked), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				const pieces, piece = 190, 4 << 10 // at 64 kB a second; what a link holds is written by half of the time
 				a := startScriptedAgent(t, []peer.Step{peer.Wait(time.Second + httpmsg.LongestSilence), peer.Forever(peer.Request(), peer.Send(peer.OK("fine")))})
 				defer a.close()
-				head, before, after := requestHead("POST", "/place-order", pieces*piece), "", ""
-				if chunked {
-					head = strings.Replace(head, fmt.Sprintf("Content-Length: %d", pieces*piece), "Transfer-Encoding: chunked", 1)
-					before, after = fmt.Sprintf("%x\r\n", piece), "\r\n"
-				}
-				client := a.connectAndWrite(head)
+				client := a.uploadSlowly(190, chunked) // what a link holds is written by half of the time
 				defer client.Close()
-				go func() {
-					for range pieces {
-						io.WriteString(client, before+strings.Repeat("x", piece)+after)
-						time.Sleep(62 * time.Millisecond)
-					}
-					if chunked {
-						io.WriteString(client, "0\r\n\r\n")
-					}
-				}()
-				if status, complete, _ := readAnswer(client); status != http.StatusOK || !complete {
-					t.Errorf("status %d, complete %v", status, complete)
+				if resp, body := readResponse(t, client); resp.StatusCode != http.StatusOK || body != "fine" {
+					t.Errorf("status %d, body %q", resp.StatusCode, body)
 				}
 			})
 		})
--- a/internal/upstream/http/body.go
+++ b/internal/upstream/http/body.go
@@ -83,7 +83,7 @@
 	pipe     *bodybuffer.Pipe
 
 	mu sync.Mutex
-	// finished is set when the exchange has ended. Streaming must not start after that, because it sets a deadline on a connection
+	// finished is set when the exchange has ended. Streaming must not start after that, because it changes the deadline of a connection
 	// that may carry another exchange by then.
 	finished bool
 }
@@ -131,7 +131,7 @@
 func (s *bodyStream) start() {
 	x := s.exchange
 	if x.reported.CompareAndSwap(false, true) {
-		x.conn.SetReadDeadline(time.Now().Add(httpmsg.EndpointStallTimeout)) // also applies to a read in progress
+		x.state.deadline.refresh() // a connection that can't set it fails the read as well
 		x.attempt.Report(x.outcome)
 	}
 }
--- a/internal/upstream/http/deadline.go
+++ b/internal/upstream/http/deadline.go
@@ -6,7 +6,8 @@
 	"ryeweir/internal/httpmsg"
 )
 
-// readDeadline returns when a read that began at the given time must have returned bytes of the response. The time is zero before the first ones.
+// readDeadline returns when a read that began at the given time must have returned bytes of a response. The time is zero while a response is awaited:
+// before the first one, and after each interim one.
 //
 // The deadline of the attempt ends every wait, until part of the response has gone to the client: from then on the response may take as long as its
 // endpoint gives it. In the middle of a response its endpoint may also be silent for httpmsg.EndpointStallTimeout at most. A pause does not tell
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -33,22 +33,18 @@
 // run executes the exchange and returns in which state it leaves the connection.
 func (x *exchange) run(ctx context.Context) pool.ReleaseOutcome {
 	x.state.startExchange(x.readDeadline)
-	write := x.writeRequest()
+	sent := x.send()
 	x.outcome.NotReplayable = x.message.Body.Consumed()
-	if write.err != nil && !write.answered {
-		return x.failWrite(write.err)
-	}
-	if write.complete() {
-		x.OnRequestWritten()
-		x.recordWritten()
-	}
-	response, err := x.state.readHead()
-	if err != nil {
-		return x.failHead(err, write)
+	switch {
+	case sent.response == nil && sent.writeErr != nil:
+		return x.failWrite(sent.writeErr)
+	case sent.response == nil:
+		return x.failHead(sent.responseErr)
 	}
+	response := sent.response
 	x.outcome.LoadReport = x.readLoadReport(response.Header.Values("X-Server-Load"))
 	release := x.readBody(ctx, response)
-	if !write.complete() {
+	if sent.writeErr != nil {
 		return x.finishEarlyResponse(response)
 	}
 	if release == pool.Reusable && x.state.reader.Buffered() > 0 {
@@ -78,12 +74,9 @@
 	return x.releaseAfterFailure(err)
 }
 
-// failHead ends an exchange that received no complete response head.
-func (x *exchange) failHead(err error, write writeResult) pool.ReleaseOutcome {
+// failHead ends an exchange whose request was written completely and that received no complete head of a final response.
+func (x *exchange) failHead(err error) pool.ReleaseOutcome {
 	x.outcome.Result = x.failureResult(err)
-	if !write.complete() {
-		x.outcome.Result = logic.ConnectFailed
-	}
 	return x.releaseAfterFailure(err)
 }
 
@@ -96,8 +89,9 @@
 	return pool.Broken
 }
 
-// recordWritten records an event that the request was written and, if events are verbose, on which connection.
+// recordWritten counts the request as written completely, and records an event and, if events are verbose, on which connection.
 func (x *exchange) recordWritten() {
+	x.OnRequestWritten()
 	written := event.Event{
 		Kind:     event.AttemptWritten,
 		Request:  x.attempt.Call.ID,
--- a/internal/upstream/http/response.go
+++ b/internal/upstream/http/response.go
@@ -29,17 +29,26 @@
 
 // readHead reads the head of the final response. It fails as soon as the received bytes cannot become one. The body fails if it does not fit
 // the length that the head tells.
+//
+// Interim responses (1xx) are passed over, whatever comes between them and the final one. An endpoint that has sent some owes its answer still: only
+// the final response says that it needs no more of the request, and only from its first byte on is the endpoint in the middle of answering.
 func (s *connState) readHead() (*http.Response, error) {
-	if err := checkPrefix(s.reader); err != nil {
-		return nil, err
-	}
-	response, err := s.readFinalResponse()
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errMalformedResponse, err)
+	for range maxInterimResponses {
+		if err := checkPrefix(s.reader); err != nil {
+			return nil, err
+		}
+		response, err := http.ReadResponse(s.reader, nil)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", errMalformedResponse, err)
+		}
+		if response.StatusCode >= http.StatusOK {
+			s.limited.N = maxResponseBytes
+			s.checkLength(response)
+			return response, nil
+		}
+		s.deadline.awaitResponse(s.reader.Buffered() > 0)
 	}
-	s.limited.N = maxResponseBytes
-	s.checkLength(response)
-	return response, nil
+	return nil, fmt.Errorf("%w: %w", errMalformedResponse, errInterimResponses)
 }
 
 // checkPrefix waits for the first bytes of a response and fails at the first byte that differs from responsePrefix.
@@ -59,17 +68,6 @@
 	return nil
 }
 
-// readFinalResponse reads response heads until it finds one that is not interim.
-func (s *connState) readFinalResponse() (*http.Response, error) {
-	for range maxInterimResponses {
-		response, err := http.ReadResponse(s.reader, nil)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
-	}
-	return nil, errInterimResponses
-}
-
 // discardErrorBody discards the body of a response other than 200 and sets the result: Reset if reading the body fails or its length does not fit, otherwise
 // Rejected if the response states that the request did not run (see notProcessed), otherwise Failed. The connection is closed if the
 // body reaches httpmsg.MaxBufferedBytes, because reading the rest costs more than a new connection.
--- a/internal/upstream/http/write.go
+++ b/internal/upstream/http/write.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net/http"
 	"net/http/httputil"
 	"strconv"
 	"sync/atomic"
@@ -24,27 +25,31 @@
 // endpointStallLimit ends the write of a body to an endpoint that does not read it.
 var endpointStallLimit = socket.StallLimit{Timeout: httpmsg.EndpointStallTimeout, MinRate: httpmsg.MinUploadRate}
 
-// errAnsweredEarly ends the write of a request when its response starts to arrive.
+// errAnsweredEarly ends the write of a request when its final response has arrived.
 var errAnsweredEarly = errors.New("endpoint answered before it received the whole request")
 
 // errRequestFinished ends the write of a long body whose request has been answered or abandoned.
 var errRequestFinished = errors.New("the request has ended")
 
-// writeResult describes how much of a request was written.
-type writeResult struct {
-	err      error // why the request was not written completely; nil if it was
-	answered bool  // a response started to arrive before the request was written completely
+// sendResult says what became of a request: how it was written, and the head of its final response. An endpoint may respond before it has the whole
+// request.
+type sendResult struct {
+	writeErr    error // why the request was not written completely; nil if it was
+	response    *http.Response
+	responseErr error // why there is no response; nil if there is one, or if none was awaited
 }
 
-// complete reports whether the whole request was written.
-func (w writeResult) complete() bool { return w.err == nil }
-
-// writeRequest writes the request, with a body that is in memory or still arrives from the client.
-func (x *exchange) writeRequest() writeResult {
-	if x.message.Body.Remainder == nil {
-		return writeResult{err: x.writeBuffered()}
+// send writes the request, with a body that is in memory or still arrives from the client, and awaits the final response.
+func (x *exchange) send() (sent sendResult) {
+	if x.message.Body.Remainder != nil {
+		return x.sendStreamed()
+	}
+	if sent.writeErr = x.writeBuffered(); sent.writeErr != nil {
+		return sent
 	}
-	return x.writeStreamed()
+	x.recordWritten()
+	sent.response, sent.responseErr = x.state.readHead()
+	return sent
 }
 
 // writeBuffered writes a request whose body is in memory, in a single write.
@@ -84,39 +89,39 @@
 	return append(buffer, "u\r\n\r\n"...)
 }
 
-// writeStreamed writes a request whose body still arrives from the client. Meanwhile it watches for a response that the endpoint
-// sends before it has the whole request.
+// sendStreamed writes a request whose body still arrives from the client, and reads its response beside that.
 //
 // Failure: an endpoint rejects a long upload and closes the connection. An agent that only writes would see a reset instead of the
-// response. Therefore the watch reads concurrently and stops the writer at the first byte of a response. If the write fails first,
-// the agent waits lateResponseTimeout for a response that was already sent.
-func (x *exchange) writeStreamed() writeResult {
-	watch := x.watchForResponse()
-	err := x.writeBody(watch)
-	watch.writeEnded.Store(true)
-	if err == nil {
-		x.conn.SetReadDeadline(x.Clock.At(x.attempt.Deadline())) // replaces the later deadline that applied during the upload
-	} else if !watch.answered.Load() {
+// response. Therefore the response is read concurrently, and its head stops the writer. If the write fails first, the agent waits
+// lateResponseTimeout for a response that was already sent.
+func (x *exchange) sendStreamed() (sent sendResult) {
+	reader := x.readHeadConcurrently()
+	sent.writeErr = x.writeBody(reader)
+	reader.writeEnded.Store(true)
+	if sent.writeErr == nil {
+		x.recordWritten()
+		x.state.deadline.refresh() // the deadline is earlier than the one that applied during the upload
+	} else {
 		cutoff := time.AfterFunc(lateResponseTimeout, x.stopReading)
 		defer cutoff.Stop()
 	}
-	<-watch.done
-	answered := watch.answered.Load() || err != nil && x.state.reader.Buffered() > 0
-	return writeResult{err: err, answered: answered}
+	<-reader.done
+	sent.response, sent.responseErr = reader.response, reader.err
+	return sent
 }
 
 // stopReading ends the reading of a response, including a read in progress.
 func (x *exchange) stopReading() {
 	x.readCutoff.Store(int64(x.Clock.Now()))
-	x.conn.SetReadDeadline(time.Now())
+	x.state.deadline.refresh()
 }
 
 // writeBody writes the head, and the body as it arrives from the client.
-func (x *exchange) writeBody(watch *responseWatch) error {
+func (x *exchange) writeBody(response *headReader) error {
 	buffer := x.Budget.Reserve(writeBufferBytes)
 	defer x.Budget.Release(buffer)
 	head := x.appendHead(x.state.requestBuffer[:0], x.remainingTimeout())
-	writer := bufio.NewWriterSize(x.newSender(watch), buffer)
+	writer := bufio.NewWriterSize(x.newSender(response), buffer)
 	writer.Write(head) // Flush returns the error
 	if err := copyBody(writer, &x.message.Body); err != nil {
 		return err
@@ -162,33 +167,37 @@
 // writerOnly hides all methods of a writer but Write, for the same reason.
 type writerOnly struct{ io.Writer }
 
-// responseWatch waits for the first byte of a response while the request is being written.
-type responseWatch struct {
-	writeEnded atomic.Bool   // the writer has ended
-	answered   atomic.Bool   // a response started before that
-	done       chan struct{} // closed when the watch has ended; connState.reader must not be used before
+// headReader reads the head of the final response while the request is being written.
+type headReader struct {
+	writeEnded atomic.Bool   // there is nothing left to stop
+	answered   atomic.Bool   // the endpoint needs no more of the request
+	done       chan struct{} // closed when the head has been read, or can't be; connState must not be used before
+	response   *http.Response
+	err        error
 }
 
-// watchForResponse starts a watch. When a response starts, the watch stops the source of the body and any write in progress.
-func (x *exchange) watchForResponse() *responseWatch {
-	watch := &responseWatch{done: make(chan struct{})}
+// readHeadConcurrently starts a headReader. When the final response arrives, or what can't become one, it stops the source of the body and any write
+// in progress. An end of the connection is left to the writer, which finds it as well.
+func (x *exchange) readHeadConcurrently() *headReader {
+	reader := &headReader{done: make(chan struct{})}
 	go func() {
-		defer close(watch.done)
-		if _, err := x.state.reader.Peek(1); err != nil || watch.writeEnded.Load() {
+		defer close(reader.done)
+		reader.response, reader.err = x.state.readHead()
+		if reader.writeEnded.Load() || reader.err != nil && !errors.Is(reader.err, errMalformedResponse) {
 			return
 		}
-		watch.answered.Store(true)
+		reader.answered.Store(true)
 		x.message.Body.Remainder.Stop()
 		x.conn.SetWriteDeadline(time.Now())
 	}()
-	return watch
+	return reader
 }
 
-// newSender returns a sender that writes to the endpoint while the endpoint takes what is written, no response has started and the request is open.
-func (x *exchange) newSender(watch *responseWatch) *socket.Sender {
+// newSender returns a sender that writes to the endpoint while the endpoint takes what is written, no response has arrived and the request is open.
+func (x *exchange) newSender(response *headReader) *socket.Sender {
 	sender := socket.NewSender(x.conn.Conn, endpointStallLimit)
 	sender.Interrupted = func() error {
-		if watch.answered.Load() {
+		if response.answered.Load() {
 			return errAnsweredEarly
 		}
 		if x.attempt.Call.Finished() {
