--- a/internal/front/http/exchange.go
+++ b/internal/front/http/exchange.go
@@ -94,7 +94,7 @@
 	remaining := x.call.Timeout - x.upload.Upload.Elapsed(time.Now())
 	switch {
 	case remaining > 0:
-		time.AfterFunc(remaining, func() { x.watchUploadDeadline(false) })
+		time.AfterFunc(max(remaining, minWatchInterval), func() { x.watchUploadDeadline(false) })
 	case !lookedAhead:
 		go x.upload.ReadAhead()
 		time.AfterFunc(lookAheadTime, func() { x.watchUploadDeadline(true) })
