Failing test: a long answer that its endpoint still writes is cut off at the deadline

The deadline of waiting for an answer is applied to one under way, while a buffer is not full, a timer has not fired or a read has not returned. The test plays each framing (no length, HTTP/1.0, a length, one long chunk, chunks) at six paces, alone, with a spent body budget, as the answer of a retry and at an agent that is to end, to three kinds of client.

--- /dev/null
+++ b/internal/agent/slow_answer_test.go
@@ -0,0 +1,182 @@
+package agent_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ryeweir/internal/config/platform"
+	"ryeweir/internal/emulator/peer"
+)
+
+const (
+	slowAnswerBytes = 180 << 10              // above httpmsg.MaxBufferedBytes, so that the first bytes are timed and not the last one
+	longestHold     = 2 * time.Second        // from when an answer that is held back is lost
+	requestTimeout  = 800 * time.Millisecond // of requestHead
+)
+
+// answerFraming is a way in which an answer tells where it ends.
+type answerFraming struct {
+	head  string
+	frame func(piece string, last bool) string // what is written for a piece of the body
+}
+
+func plainPiece(piece string, _ bool) string { return piece }
+
+// slowAnswerFramings returns the ways in which a long answer can tell where it ends.
+func slowAnswerFramings() map[string]answerFraming {
+	return map[string]answerFraming{
+		"no length":         {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", plainPiece},
+		"HTTP/1.0 endpoint": {"HTTP/1.0 200 OK\r\n\r\n", plainPiece},
+		"with a length":     {fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", slowAnswerBytes), plainPiece},
+		"one long chunk": {fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", slowAnswerBytes),
+			func(piece string, last bool) string {
+				if last {
+					return piece + "\r\n0\r\n\r\n"
+				}
+				return piece
+			}},
+		"chunks": {"HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n",
+			func(piece string, last bool) string {
+				framed := fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+				if last {
+					framed += "0\r\n\r\n"
+				}
+				return framed
+			}},
+	}
+}
+
+// answerPace is how an endpoint writes the body of an answer.
+type answerPace struct {
+	headAfter  time.Duration // when the head is written, from the end of the request on
+	firstAfter time.Duration // when the first piece is written, from the head on
+	pieceBytes int
+	pause      time.Duration // between two pieces
+}
+
+// slowAnswer returns the steps that read a request and write a long answer.
+func slowAnswer(framing answerFraming, pace answerPace) []peer.Step {
+	steps := []peer.Step{peer.Request(), peer.Wait(pace.headAfter), peer.Send(framing.head), peer.Wait(pace.firstAfter)}
+	rest := strings.Repeat("x", slowAnswerBytes)
+	for len(rest) > 0 {
+		piece := rest[:min(len(rest), pace.pieceBytes)]
+		rest = rest[len(piece):]
+		steps = append(steps, peer.Send(framing.frame(piece, rest == "")))
+		if rest != "" {
+			steps = append(steps, peer.Wait(pace.pause))
+		}
+	}
+	return append(steps, peer.Close())
+}
+
+// givenBy returns how many bytes of the body have been written some time after the end of the request.
+func (p answerPace) givenBy(elapsed time.Duration) int {
+	sinceFirst := elapsed - p.headAfter - p.firstAfter
+	if sinceFirst < 0 {
+		return 0
+	}
+	return min(slowAnswerBytes, (1+int(sinceFirst/p.pause))*p.pieceBytes)
+}
+
+// readSlowAnswer reads an answer. It fails the test unless all of it arrives, its head within the given time, and no part more than longestHold after the
+// endpoint has given it.
+func readSlowAnswer(t *testing.T, client net.Conn, pace answerPace, requestEnd time.Time, headWithin time.Duration) {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if elapsed := time.Since(requestEnd); response.StatusCode != http.StatusOK || elapsed > headWithin {
+		t.Fatalf("status %d after %v", response.StatusCode, elapsed)
+	}
+	buffer := make([]byte, 32<<10)
+	for received := 0; ; {
+		n, err := response.Body.Read(buffer)
+		if held := pace.givenBy(time.Since(requestEnd)-longestHold) - received; held > 0 {
+			t.Fatalf("%d bytes were held back for %v; %d had been received", held, longestHold, received)
+		}
+		received += n
+		if err == io.EOF && received == slowAnswerBytes {
+			return
+		}
+		if err != nil {
+			t.Fatalf("cut off after %d bytes and %v: %v", received, time.Since(requestEnd), err)
+		}
+	}
+}
+
+// slowAnswerPaces returns the ways in which an endpoint writes a long answer slowly.
+func slowAnswerPaces() map[string]answerPace {
+	return map[string]answerPace{
+		"steady":                {6 * time.Millisecond, 0, 5 << 10, 50 * time.Millisecond},
+		"slower":                {6 * time.Millisecond, 0, 1 << 10, 50 * time.Millisecond},
+		"in lumps":              {6 * time.Millisecond, 0, 50 << 10, 1100 * time.Millisecond},
+		"its head comes late":   {requestTimeout - 25*time.Millisecond, 0, 5 << 10, 50 * time.Millisecond},
+		"its body comes late":   {6 * time.Millisecond, time.Second, 5 << 10, 50 * time.Millisecond},
+		"a byte, then in lumps": {6 * time.Millisecond, 100 * time.Millisecond, 1, 10 * time.Microsecond},
+	}
+}
+
+// slowAnswerCircumstances returns what may happen beside a slow answer: how the agent is configured, what its endpoint does with the request at first,
+// and when the agent is told to end.
+func slowAnswerCircumstances() map[string]struct {
+	configure func(*platform.Config)
+	first     []peer.Step
+	stopAfter time.Duration // from the request on; 0 for never
+} {
+	rejection := []peer.Step{peer.Request(), peer.Send("HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"), peer.Close()}
+	unchanged := func(*platform.Config) {}
+	return map[string]struct {
+		configure func(*platform.Config)
+		first     []peer.Step
+		stopAfter time.Duration
+	}{
+		"alone":                     {unchanged, nil, 0},
+		"with a spent body budget":  {func(c *platform.Config) { c.MemoryMB = 1 }, nil, 0},
+		"of a retry":                {unchanged, rejection, 0},
+		"while the agent is to end": {unchanged, nil, 50 * time.Millisecond},
+	}
+}
+
+// Guards against a long answer that is cut off at its client's deadline, or held back, while its endpoint is still writing it: the limit on the wait for
+// an answer was applied to one under way, while a buffer was not full, a timer had not fired or a read had not returned.
+func TestSlowAnswerUnderWayIsPassedOn(t *testing.T) {
+	requests := map[string]string{
+		"GET":              requestHead("GET", "/price-basket", 0),
+		"POST":             requestHead("POST", "/place-order", 0),
+		"POST by HTTP/1.0": strings.Replace(requestHead("POST", "/place-order", 0), "HTTP/1.1", "HTTP/1.0", 1),
+	}
+	for circumstancesName, circumstances := range slowAnswerCircumstances() {
+		for framingName, framing := range slowAnswerFramings() {
+			for paceName, pace := range slowAnswerPaces() {
+				for requestName, request := range requests {
+					t.Run(fmt.Sprintf("%s, %s, %s, %s", circumstancesName, framingName, paceName, requestName), func(t *testing.T) {
+						t.Parallel()
+						synctest.Test(t, func(t *testing.T) {
+							scripts := [][]peer.Step{slowAnswer(framing, pace)}
+							if circumstances.first != nil {
+								scripts = [][]peer.Step{circumstances.first, scripts[0]}
+							}
+							a := startScriptedAgentWith(t, circumstances.configure, 1, scripts...)
+							defer a.close()
+							client := a.connectAndWrite(request)
+							defer client.Close()
+							requestEnd := time.Now()
+							if circumstances.stopAfter > 0 {
+								time.AfterFunc(circumstances.stopAfter, a.stop)
+							}
+							readSlowAnswer(t, client, pace, requestEnd, requestTimeout)
+						})
+					})
+				}
+			}
+		}
+	}
+}
