A response under way at the deadline is passed on in place of being failed

Cause: the deadline of waiting for a response (logic/deadline.go expireRequests, upstream/http/deadline.go readDeadline) ended one that was under way, for as long as it was held back: a body without a length until 64 KiB were there, a chunked one until a timer of 100 ms fired, any body until a read returned, and net/http's reader of chunks returns nothing of a long chunk before the caller's 64 KiB are full.

Change: internal/upstream/http/hold.go says in one place when a response belongs to its client, and keeps it until then. The deadline, the end of the process and hedging ask there: at the end of a wait the core asks each attempt whether its response has begun (core/response.go, also by a look at the socket, so that the order of goroutines does not decide), the balancer answers with Forward in place of Fail or Reject, and the hold passes on what is timed by its first bytes: bodies of unknown length or over 64 KiB, the head alone if no more is there. A body without a length is held for 1 s at most (2 s count as lost). Chunks are read as they arrive (upstream/http/chunked.go, compared with net/http by drawn bodies). A response that arrives is not late, so it is not hedged, and its endpoint is seen.

TestOutcomeSaysExactlyWhatMayHaveRun had a row that wanted a body without a length, left open, to be held for 8 s and then replaced. OPERATION: the request is lost if the rest is held back for 2 s. TestBodyThatIsLeftOpenIsPassedOnAndLooksBroken replaces it: passed on within 2 s, and not whole.

Loss: a response without a length that stays under 64 KiB and never ends reached its client as 502 or 503 at the deadline, and reaches it now as a part that is cut after 8 s of silence.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -24,6 +24,7 @@
 	writtenAt atomic.Int64 // when the end of a pending body was written, as time.Duration on the core's clock; 0 before that
 	reported  atomic.Bool  // the outcome is known
 	claim     atomic.Int32 // see Begin
+	response  responseInProgress
 
 	core   *Core
 	report func(Outcome) // receives the outcome if core is nil
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -64,6 +64,7 @@
 	for len(c.timers) > 0 && c.timers[0].due <= c.clock.Now() {
 		due := heap.Pop(&c.timers).(timer)
 		if !due.isPeriodicCheck {
+			c.reportResponsesUnderWay(waitsOverAt(c.clock.Now()))
 			c.handleEvent(logic.TimerFired{Token: due.token})
 			continue
 		}
@@ -105,6 +106,7 @@
 	case knowledgeRequested:
 		m.reply <- c.balancer.Knowledge(c.clock.Now())
 	case shutdownRequested:
+		c.reportResponsesUnderWay(allWaitsOver)
 		c.handleEvent(logic.Shutdown{})
 	}
 }
@@ -122,6 +124,8 @@
 			c.finishCall(c.calls[action.Request], Answer{Kind: Rejected, Reason: decisionReasons[action.Reason], RetryAfter: action.Delay})
 		case logic.Fail:
 			c.finishCall(c.calls[action.Request], Answer{Kind: Failed, Reason: decisionReasons[action.Reason], RetryAfter: action.Delay})
+		case logic.Forward:
+			c.forward(action)
 		case logic.SetTimer:
 			heap.Push(&c.timers, timer{due: c.clock.Now() + action.Delay, token: action.Token})
 		case logic.Subscribe:
--- a/internal/core/upstream.go
+++ b/internal/core/upstream.go
@@ -18,8 +18,8 @@
 	// previous one. Bind must not block.
 	Bind(endpoint string) (target any)
 
-	// Execute executes the attempt. It must report one outcome with Attempt.Report before Attempt.Deadline. It may continue after
-	// that to receive the rest of a long answer. It must not retry, and must not report that the request was not executed if it
+	// Execute executes the attempt. It must report one outcome with Attempt.Report before Attempt.Deadline, or at once when the core ends
+	// the wait for its response (Attempt.AwaitResponse). It may continue after that to receive the rest of a long answer. It must not retry, and must not report that the request was not executed if it
 	// may have been. Execute returns soon after the context ends.
 	Execute(ctx context.Context, attempt *Attempt)
 }
--- a/internal/front/http/stream.go
+++ b/internal/front/http/stream.go
@@ -41,6 +41,9 @@
 	if endsWithConnection {
 		out.beforeHead = func() { framing.ResetOnClose(x.ctx) }
 	}
+	if content.HeadFirst {
+		out.sendHead()
+	}
 	if _, err := content.Pipe.WriteTo(out); err != nil {
 		if !out.headWritten && x.ctx.Err() == nil {
 			x.writer.Header().Del("Content-Length")
@@ -115,6 +118,12 @@
 	}
 }
 
+// sendHead writes the status line and the headers before there is any content. If that fails, the next write does.
+func (w *clientWriter) sendHead() {
+	w.writeHead()
+	w.control.Flush()
+}
+
 // Write writes a piece of the content.
 func (w *clientWriter) Write(p []byte) (int, error) {
 	w.writeHead()
--- a/internal/httpmsg/message.go
+++ b/internal/httpmsg/message.go
@@ -45,6 +45,7 @@
 	Pipe        *bodybuffer.Pipe
 	Length      int64  // in bytes; -1 if unknown
 	ContentType string // empty if the response has none
+	HeadFirst   bool   // the head is to be sent at once, although nothing of the body has arrived
 }
 
 // Discard releases the content without reading the rest of it.
--- a/internal/upstream/http/connstate.go
+++ b/internal/upstream/http/connstate.go
@@ -27,10 +27,10 @@
 }
 
 // startExchange resets the state for one exchange. readDeadline returns the deadline of a read that began at the given time. That time is
-// zero while the exchange awaits a response, of which nothing has been read.
-func (s *connState) startExchange(readDeadline func(readBegan time.Time) time.Time) {
+// zero while the exchange awaits a response, of which nothing has been read. expired is called when that deadline has passed.
+func (s *connState) startExchange(readDeadline func(readBegan time.Time) time.Time, expired func()) {
 	s.limited.N = maxHeadBytes // http.ReadResponse itself does not limit the length of a head
-	s.deadline.start(readDeadline)
+	s.deadline.start(readDeadline, expired)
 }
 
 // anyRead reports whether any bytes have been read in this exchange.
--- a/internal/upstream/http/deadlinereader.go
+++ b/internal/upstream/http/deadlinereader.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"ryeweir/internal/socket"
 )
 
 // deadlineReader reads from a connection. It alone sets the connection's read deadline, from a function whose result may change while a read is in
@@ -19,6 +21,7 @@
 	inResponse bool       // part of a response has been read, and not all of it
 	began      time.Time  // when the latest read began; the zero time while a response is awaited
 	deadline   func(readBegan time.Time) time.Time
+	expired    func()    // called when a read has reached its deadline; what it changes may postpone the deadline
 	applied    time.Time // deadline that is set on the connection
 }
 
@@ -27,10 +30,17 @@
 const deadlineSlack = 100 * time.Millisecond
 
 // start resets the reader for one exchange.
-func (r *deadlineReader) start(deadline func(readBegan time.Time) time.Time) {
+func (r *deadlineReader) start(deadline func(readBegan time.Time) time.Time, expired func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.anyRead, r.failed, r.inResponse, r.began, r.deadline, r.expired = false, nil, false, time.Time{}, deadline, expired
+}
+
+// responseBegun reports whether part of a response has arrived: it has been read, or it waits to be read.
+func (r *deadlineReader) responseBegun() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.anyRead, r.failed, r.inResponse, r.began, r.deadline = false, nil, false, time.Time{}, deadline
+	return r.inResponse || socket.InputArrived(r.conn)
 }
 
 // awaitResponse records that a response has been read to its end and that the next one is awaited. begun says that part of that one has been read.
@@ -55,7 +65,7 @@
 	return n, err
 }
 
-// read reads once, until the deadline that is in force at the end.
+// read reads once, until the deadline that is in force at the end. What has arrived by then is read.
 func (r *deadlineReader) read(p []byte) (int, error) {
 	r.beginRead()
 	for {
@@ -63,14 +73,31 @@
 			return 0, err
 		}
 		n, err := r.conn.Read(p)
+		if errors.Is(err, os.ErrDeadlineExceeded) && n == 0 {
+			r.expired()
+			if r.postponed() {
+				continue
+			}
+			n, err = r.readArrived(p, err)
+		}
 		if n > 0 {
 			r.noteBytes()
-			return n, err
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !r.postponed() {
-			return n, err
 		}
+		return n, err
+	}
+}
+
+// readArrived reads what has arrived although the deadline has passed. It returns the error of the deadline if there is nothing.
+//
+// Failure: a process is held up, and the deadline passes before it runs again. A read then fails without looking at what has arrived in time.
+func (r *deadlineReader) readArrived(p []byte, deadlineErr error) (int, error) {
+	if !socket.InputArrived(r.conn) {
+		return 0, deadlineErr
+	}
+	if err := r.conn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
 	}
+	return r.conn.Read(p)
 }
 
 // beginRead records that a read begins.
--- a/internal/upstream/http/exchange.go
+++ b/internal/upstream/http/exchange.go
@@ -22,8 +22,8 @@
 	message  *httpmsg.Message
 	outcome  core.Outcome
 
-	reported  atomic.Bool // set with CompareAndSwap before the outcome is reported, so that it is reported once
-	streaming atomic.Bool // the body is to be streamed once part of it has been read
+	reported atomic.Bool // set with CompareAndSwap before the outcome is reported, so that it is reported once
+	hold     hold        // the response, until it belongs to the client
 
 	// readCutoff is the time on the agent's clock at which reading was stopped early; 0 if it was not. The time is stored because a
 	// deadline recomputed as the current time for each read would never expire.
@@ -32,7 +32,9 @@
 
 // run executes the exchange and returns in which state it leaves the connection.
 func (x *exchange) run(ctx context.Context) pool.ReleaseOutcome {
-	x.state.startExchange(x.readDeadline)
+	x.state.startExchange(x.readDeadline, x.hold.expired)
+	defer x.hold.end()
+	x.attempt.AwaitResponse(&x.hold)
 	sent := x.send()
 	x.outcome.NotReplayable = x.message.Body.Consumed()
 	switch {
--- a/internal/upstream/http/healthcheck.go
+++ b/internal/upstream/http/healthcheck.go
@@ -66,7 +66,7 @@
 // exchangeHealthCheck writes the request and interprets the response.
 func (u *Upstream) exchangeHealthCheck(conn *pool.Conn, kind healthcheck.RequestKind, deadline time.Time) (healthcheck.Response, pool.ReleaseOutcome) {
 	state := conn.State.(*connState)
-	state.startExchange(func(time.Time) time.Time { return deadline })
+	state.startExchange(func(time.Time) time.Time { return deadline }, func() {})
 	head, body, err := state.roundTripHealthCheck(conn, kind, deadline)
 	if err != nil {
 		return noResponse(failureResult(err)), state.releaseAfterFailure(conn, err)
--- a/internal/upstream/http/response.go
+++ b/internal/upstream/http/response.go
@@ -44,6 +44,7 @@
 		if response.StatusCode >= http.StatusOK {
 			s.limited.N = maxResponseBytes
 			s.checkLength(response)
+			s.returnChunksEarly(response)
 			return response, nil
 		}
 		s.deadline.awaitResponse(s.reader.Buffered() > 0)
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -61,6 +61,7 @@
 		message:  attempt.Call.Message.(*httpmsg.Message),
 		outcome:  outcome,
 	}
+	x.hold.exchange = x
 	u.Pool.Put(conn, x.run(ctx))
 	x.reportOnce()
 }
--- a/logic/attempt.go
+++ b/logic/attempt.go
@@ -19,6 +19,9 @@
 	notReplayable bool       // it can't be sent again
 	queued        bool       // it is in the deadline queue
 	queueIndex    int        // index in the deadline queue
+
+	forwarded *attempt // its response is being forwarded, as the wait for it is over; nil before that
+	endReason Reason   // why the wait is over; only with forwarded
 }
 
 // attempt is one send of a request.
@@ -28,6 +31,7 @@
 	zone, cell      int // of the endpoint at the time of the send; a later list may change them
 	sentAt          time.Duration
 	responseDueFrom time.Duration // when the endpoint had the whole request; 0 while the body is arriving
+	lastArrivalAt   time.Duration // when more of the response was last reported to have arrived; 0 before that
 	inFlight        bool
 	neverExecuted   bool
 }
@@ -39,14 +43,14 @@
 // maySend reports whether a request may be sent to an endpoint now. Every send passes this check, so these
 // rules hold regardless of selection and retries:
 //
-//   - a request that has ended or whose deadline has passed is not sent;
+//   - a request that has ended, whose deadline has passed or whose response is being forwarded is not sent;
 //   - nothing is sent to an endpoint that is draining or removed;
 //   - a request has at most MaxAttempts attempts, and at most one in flight, or two if hedging is allowed;
 //   - there is no second attempt while the body is being streamed, or once the request can't be replayed;
 //   - a request that may have been executed is sent again only as its idempotency allows.
 func (b *Balancer) maySend(r *request, e *endpoint) bool {
 	switch {
-	case r.closed || b.now >= r.Deadline || e.State != Ready:
+	case r.closed || r.forwarded != nil || b.now >= r.Deadline || e.State != Ready:
 		return false
 	case len(r.attempts) >= b.settings.MaxAttempts:
 		return false
@@ -165,6 +169,30 @@
 	}
 }
 
+// handleResponseUnderWay notes that the endpoint of an attempt is responding. What is first reported at the
+// deadline does not show that the endpoint is well: it may have stopped in the middle of a response.
+func (b *Balancer) handleResponseUnderWay(e ResponseUnderWay) {
+	r := b.requests[e.Request]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) {
+		return
+	}
+	a := r.attempts[e.Attempt]
+	a.lastArrivalAt = b.now
+	if b.now < r.Deadline {
+		a.endpoint.lastSeen = b.now
+	}
+}
+
+// responseUnderWay returns the first attempt in flight whose response has begun to arrive, or nil.
+func (r *request) responseUnderWay() *attempt {
+	for _, a := range r.attempts {
+		if a.inFlight && a.lastArrivalAt > 0 {
+			return a
+		}
+	}
+	return nil
+}
+
 // finish ends a request that was not served, with a Reject if the client can safely try again and with a
 // Fail otherwise.
 func (b *Balancer) finish(r *request, reason Reason) {
--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -114,6 +114,8 @@
 		b.handleBodyReceived(e)
 	case Outcome:
 		b.handleOutcome(e)
+	case ResponseUnderWay:
+		b.handleResponseUnderWay(e)
 	case ResponseStarted:
 		b.closeByID(e.Request)
 	case ClientDisconnected:
--- a/logic/deadline.go
+++ b/logic/deadline.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Deadlines: each open request ends at its deadline at the latest, and all open requests end at shutdown.
+// Deadlines: the wait for the response to a request ends at its deadline, and for all requests at shutdown.
+// A response that is under way then is forwarded. If there is none, the request ends.
 
 // deadlineTimer is one timer for the deadlines of all requests. One timer per request would wake the
 // process as often as requests arrive, mostly for requests that ended long before.
@@ -42,17 +43,36 @@
 func (b *Balancer) expireRequests() {
 	d := &b.deadlines
 	for len(d.queue) > 0 && d.queue[0].Deadline <= b.now {
-		b.finish(d.queue[0], DeadlineExceeded) // also removes it from the queue
+		b.endWait(d.queue[0], DeadlineExceeded) // also removes it from the queue
 	}
 	d.firesAt = 0
 	b.setDeadlineTimer()
 }
 
-// shutDown ends all open requests in the order of their IDs. Requests that arrive later end at once.
+// endWait ends the wait for the response to a request. A response that is under way is forwarded: the
+// deadline limits the wait for it, and not the time that its endpoint takes to give it.
+func (b *Balancer) endWait(r *request, reason Reason) {
+	a := r.responseUnderWay()
+	if r.closed || a == nil {
+		b.finish(r, reason)
+		return
+	}
+	if r.queued {
+		heap.Remove(&b.deadlines.queue, r.queueIndex)
+	}
+	if a != r.forwarded {
+		r.forwarded, r.endReason = a, reason
+		number := slices.Index(r.attempts, a)
+		b.emit(Action{Kind: Forward, Reason: reason, Request: r.ID, Attempt: number})
+	}
+}
+
+// shutDown ends the wait of all open requests in the order of their IDs. Requests that arrive later end at
+// once.
 func (b *Balancer) shutDown() {
 	b.shuttingDown = true
 	for _, id := range slices.Sorted(maps.Keys(b.requests)) {
-		b.finish(b.requests[id], ShuttingDown)
+		b.endWait(b.requests[id], ShuttingDown)
 	}
 }
 
--- a/logic/deadline_test.go
+++ b/logic/deadline_test.go
@@ -102,3 +102,46 @@
 		t.Errorf("actions for a request after the shutdown: %+v, want Reject with ShuttingDown", actions)
 	}
 }
+
+// Guards against a request that is failed at its deadline while its response is under way.
+func TestResponseUnderWayIsForwardedAtTheEndOfTheWait(t *testing.T) {
+	for _, reason := range []Reason{DeadlineExceeded, ShuttingDown} {
+		for _, result := range []Result{OK, Reset} { // of the attempt whose response is forwarded
+			h := newHarness(t, testSettings(), 1, 1)
+			deadline := h.clock + 800*time.Millisecond
+			endWait := Event(Shutdown{})
+			var endpoint string
+			for _, a := range h.Handle(h.clock, Request{ID: "x", Class: nonIdempotentClass, Deadline: deadline}) {
+				switch {
+				case a.Kind == Send:
+					endpoint = a.Endpoint
+				case a.Kind == SetTimer && reason == DeadlineExceeded:
+					endWait = TimerFired{a.Token}
+				}
+			}
+			h.Handle(h.clock, ResponseUnderWay{Request: "x"})
+			h.clock = deadline
+			if actions := decisionsOf(h.Handle(h.clock, endWait)); len(actions) != 1 || actions[0] != (Action{Kind: Forward, Reason: reason, Request: "x"}) {
+				t.Errorf("%v: %+v", reason, actions)
+			}
+			outcome := Outcome{Request: "x", Endpoint: endpoint, Result: result, Closed: result == OK, LoadReport: NoLoadReport}
+			actions := decisionsOf(h.Handle(h.clock, outcome))
+			if answered := len(actions) == 1 && actions[0].Kind == Fail && actions[0].Reason == reason; answered != (result != OK) {
+				t.Errorf("%v, result %v: %+v", reason, result, actions)
+			}
+			if !h.Idle() {
+				t.Errorf("%v, result %v: the request is still open", reason, result)
+			}
+		}
+	}
+}
+
+// decisionsOf returns the actions that concern requests.
+func decisionsOf(actions []Action) (decisions []Action) {
+	for _, a := range actions {
+		if a.Request != "" {
+			decisions = append(decisions, a)
+		}
+	}
+	return decisions
+}
--- a/logic/event.go
+++ b/logic/event.go
@@ -68,6 +68,12 @@
 		NotReplayable bool          // the request can't be sent again, because its body is not buffered
 		LoadReport    LoadReport
 	}
+	// ResponseUnderWay reports that more of the response of an attempt has arrived, and that its end has not. If
+	// any part has arrived when the request's deadline passes or at Shutdown, it must be reported before that.
+	ResponseUnderWay struct {
+		Request string
+		Attempt int // numbered from 0 in the order of the sends
+	}
 	// ResponseStarted reports that a streamed response has begun: no further attempt and no final response
 	// may follow.
 	ResponseStarted struct{ Request string }
@@ -99,6 +105,7 @@
 func (Request) event()              {}
 func (BodyReceived) event()         {}
 func (Outcome) event()              {}
+func (ResponseUnderWay) event()     {}
 func (ResponseStarted) event()      {}
 func (ClientDisconnected) event()   {}
 func (Shutdown) event()             {}
--- a/logic/hedge.go
+++ b/logic/hedge.go
@@ -43,7 +43,8 @@
 	return late
 }
 
+// isLate reports whether nothing has come of the response of an attempt for too long.
 func (b *Balancer) isLate(a *attempt) bool {
 	hedgeDelay := time.Duration(hedgeDelayFactor * b.baseline[a.request.Class])
-	return a.fullySent() && b.now-a.responseDueFrom > hedgeDelay
+	return a.fullySent() && b.now-max(a.responseDueFrom, a.lastArrivalAt) > hedgeDelay
 }
--- a/logic/hedge_test.go
+++ b/logic/hedge_test.go
@@ -48,3 +48,37 @@
 		}
 	}
 }
+
+// Hedging a response that is arriving would have an endpoint execute a request in vain. One that has stopped
+// arriving is late again.
+func TestResponseIsHedgedOnlyWhileNothingOfItArrives(t *testing.T) {
+	settings := testSettings()
+	settings.HedgingAllowed = true
+	h := newHarness(t, settings, 1, 1, 1, 1)
+	for range 100 {
+		id, to := h.sendRequest(cheapClass)
+		h.endAttempt(id, to, 0, OK, loadReport(0.3, 50))
+	}
+	h.advanceTick()
+	id, _ := h.sendRequest(cheapClass)
+	hedgedWithin := func(ticks int, arriving bool) bool {
+		for range ticks {
+			if arriving {
+				h.Handle(h.clock, ResponseUnderWay{Request: id})
+			}
+			for _, a := range h.advanceTick() {
+				if a.Kind == Send && a.Request == id {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	const ticks = ticksPerHorizon
+	if hedgedWithin(ticks, true) {
+		t.Error("hedged while it arrived")
+	}
+	if !hedgedWithin(ticks, false) {
+		t.Error("not hedged after it stopped arriving")
+	}
+}
--- a/logic/retry.go
+++ b/logic/retry.go
@@ -76,6 +76,8 @@
 	switch {
 	case r.closed:
 		b.closeRequest(r) // deletes it if this was its last attempt in flight
+	case r.forwarded != nil:
+		b.endWait(r, r.endReason)
 	case r.inFlight > 0: // the other attempt continues
 	case r.notReplayable:
 		b.finish(r, NotRetryable)
