A short wait for bytes of a long request is no sign that its client still writes

Cause: each read that waited for 1 ms counted as one for the client (httpmsg/progress.go noteRead, UnfinishedAt), and the request's time began anew. But while the agent pauses, because its endpoint takes nothing, its receive buffer fills up and the rest waits in the client's kernel; when it reads on, these bytes come some milliseconds later although the client wrote them long before. Each such wait added a whole timeout.

Change: a wait counts once the agent has waited for longer, since its last pause between two reads, than kernels need to deliver what has come since (0.1 s, and 16 MiB a second). The look ahead at the deadline goes on for that long, 0.25 s at most, so that a final answer stays within the half second.

Loss: the time of a long request whose client pauses for under 0.1 s in all begins up to that much early.

--- a/internal/front/http/config.go
+++ b/internal/front/http/config.go
@@ -73,8 +73,6 @@
 const (
 	// settleLimit is how long a request waits for what its client has sent behind it to be read, so that a client that has left is noticed.
 	settleLimit = 30 * time.Millisecond
-	// lookAheadTime is how long a look at what the client has written of a long body may take before its request ends.
-	lookAheadTime = 20 * time.Millisecond
 	// minWatchInterval is the least time between two looks at the deadline of a long body: a client may state a timeout of microseconds.
 	minWatchInterval  = 5 * time.Millisecond
 	maxHeaderBytes    = 16 << 10
--- a/internal/front/http/exchange.go
+++ b/internal/front/http/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"ryeweir/internal/connlimit"
@@ -96,13 +97,25 @@
 	case remaining > 0:
 		time.AfterFunc(max(remaining, minWatchInterval), func() { x.watchUploadDeadline(false) })
 	case !lookedAhead:
-		go x.upload.ReadAhead()
-		time.AfterFunc(lookAheadTime, func() { x.watchUploadDeadline(true) })
+		x.lookAhead()
 	default:
 		x.server.Core.UploadExpired(x.call)
 	}
 }
 
+// lookAhead looks whether the client of a long body still writes, and continues to watch its deadline when that is known or httpmsg.LookAheadTime has
+// passed.
+func (x *exchange) lookAhead() {
+	var once sync.Once
+	conclude := func() { once.Do(func() { x.watchUploadDeadline(true) }) }
+	time.AfterFunc(httpmsg.LookAheadTime, conclude)
+	go func() {
+		if x.upload.ReadAhead() {
+			conclude()
+		}
+	}()
+}
+
 // recordReceived counts the request as received, once, when its last byte has been read. It may run in the goroutine of an attempt.
 func (x *exchange) recordReceived() {
 	if x.receipt.receive() {
--- a/internal/httpmsg/readahead.go
+++ b/internal/httpmsg/readahead.go
@@ -14,26 +14,26 @@
 
 // ReadAhead finds out whether the client still writes, for a request whose time may be over: an endpoint takes its body slowly, and what the client
 // has written waits unread. It reads on before the attempt asks for more, until the client is seen to be unfinished, the end has been read or the
-// spare part of the budget is used up. Upload.UnfinishedAt tells the first of these. It does nothing before an attempt has begun to read, and while
-// another read is in progress.
-func (r *Remainder) ReadAhead() {
-	if r.Budget == nil || !r.reading.TryLock() {
-		return
+// spare part of the budget is used up. Upload.UnfinishedAt tells the first of these. It does nothing before an attempt has begun to read. It returns
+// false if another read is in progress, which tells by itself whether it waits for the client.
+func (r *Remainder) ReadAhead() (looked bool) {
+	if !r.reading.TryLock() {
+		return false
 	}
 	defer r.reading.Unlock()
-	if !r.Budget.TryReserveSpare(aheadPieceBytes) {
-		return
+	if r.Budget == nil || !r.Budget.TryReserveSpare(aheadPieceBytes) {
+		return true
 	}
 	defer r.Budget.Release(aheadPieceBytes)
 	scratch := make([]byte, aheadPieceBytes)
 	for total := 0; total < maxAheadBytes && r.mayReadAhead() && r.Budget.TryReserveSpare(aheadPieceBytes); {
-		began := time.Now()
 		n, err := r.readUpload(scratch, true)
 		total += n
-		if err != nil || time.Since(began) >= emptyWait {
-			return
+		if err != nil || r.Upload.Elapsed(time.Now()) < emptyWait {
+			return true
 		}
 	}
+	return true
 }
 
 // mayReadAhead reports whether an attempt has begun to read and more can be read.
--- a/internal/httpmsg/upload.go
+++ b/internal/httpmsg/upload.go
@@ -46,12 +46,11 @@
 	if err := u.setDeadline(u.nextDeadline(began)); err != nil {
 		return 0, err
 	}
-	u.progress.readBegan.Store(&began)
+	u.progress.beginRead(began)
 	n, err := u.Source.Read(p)
-	u.progress.readBegan.Store(nil)
 	waited := time.Since(began)
 	u.waited += waited
-	u.noteRead(n, began.Add(waited), waited)
+	u.noteRead(n, began.Add(waited))
 	if u.received.Load() > MaxBodyBytes {
 		return 0, ErrBodyTooLarge
 	}
