Failing test: an answer that begins before its upload ends is cut off

The agent reads no more of the upload until its answer is written, the client reads nothing before its upload is, and after 7 s the agent lets it go.

--- a/internal/agent/slow_answer_test.go
+++ b/internal/agent/slow_answer_test.go
@@ -180,3 +180,79 @@
 		}
 	}
 }
+
+// Guards against an answer that is cut off because it begins before its upload ends: nobody read the rest of the upload while the answer was written.
+func TestAnswerThatBeginsBeforeItsUploadEndsIsPassedOn(t *testing.T) {
+	const uploadBytes, readFirst, rate = 1 << 20, 100 << 10, 64_000
+	for framingName, framing := range slowAnswerFramings() {
+		for paceName, pace := range slowAnswerPaces() {
+			for _, chunked := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, upload in chunks %v", framingName, paceName, chunked), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) {
+						steps := slowAnswer(framing, pace)
+						steps[0] = func(s *peer.Session) error {
+							_, err := io.CopyN(io.Discard, s.In, readFirst)
+							return err
+						}
+						steps[len(steps)-1] = func(s *peer.Session) error { // a close over unread bytes would reset the connection
+							return s.Conn.(interface{ CloseWrite() error }).CloseWrite()
+						}
+						steps = append(steps, peer.Silence())
+						a := startScriptedAgent(t, steps)
+						defer a.close()
+						head := requestHead("POST", "/place-order", uploadBytes)
+						body := strings.Repeat("x", uploadBytes)
+						if chunked {
+							head = strings.Replace(head, fmt.Sprintf("Content-Length: %d", uploadBytes), "Transfer-Encoding: chunked", 1)
+							body = strings.Repeat("1000\r\n"+strings.Repeat("x", 4096)+"\r\n", uploadBytes/4096) + "0\r\n\r\n"
+						}
+						client := a.connectAndWrite(head + body[:readFirst+10<<10])
+						defer client.Close()
+						answerBegins := time.Now()
+						go func() {
+							for rest := body[readFirst+10<<10:]; len(rest) > 0; rest = rest[min(len(rest), rate/10):] {
+								time.Sleep(100 * time.Millisecond)
+								if _, err := io.WriteString(client, rest[:min(len(rest), rate/10)]); err != nil {
+									return
+								}
+							}
+						}()
+						readSlowAnswer(t, client, pace, answerBegins, longestHold)
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against an answer that is cut off because its client writes all of its request before it reads: while the answer was written, nobody read the
+// rest of the upload, so that neither side could go on.
+func TestClientThatWritesAllBeforeItReadsGetsAnEarlyAnswer(t *testing.T) {
+	const uploadBytes, answerBytes = 4 << 20, 1 << 20 // each more than a connection holds
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprint("chunked ", chunked), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				readFirst := func(s *peer.Session) error {
+					_, err := io.CopyN(io.Discard, s.In, 100<<10)
+					return err
+				}
+				a := startScriptedAgent(t, []peer.Step{readFirst, peer.Send(peer.OK(strings.Repeat("x", answerBytes))), peer.Silence()})
+				defer a.close()
+				head, body := requestHead("POST", "/place-order", uploadBytes), strings.Repeat("x", uploadBytes)
+				if chunked {
+					head = strings.Replace(head, fmt.Sprintf("Content-Length: %d", uploadBytes), "Transfer-Encoding: chunked", 1)
+					body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", uploadBytes, body)
+				}
+				client := a.connectAndWrite(head)
+				defer client.Close()
+				if _, err := io.WriteString(client, body); err != nil {
+					t.Errorf("the request was not read: %v", err)
+				}
+				if status, complete, _ := readAnswer(client); status != http.StatusOK || !complete {
+					t.Errorf("status %d, complete %v", status, complete)
+				}
+			})
+		})
+	}
+}
