The rest of an upload is discarded while its early answer is written

Callers that write all of a long request before they read had an answer cut off after 7 s if it began before their upload ended.

Cause: front/http/stream.go discarded the rest of the upload only after the answer; until then nobody read it, the client waited for the agent to read and the agent for the client, until the limit on clients that take nothing. Change: the discarding begins with the answer and ends with the handler.

--- a/internal/front/http/stream.go
+++ b/internal/front/http/stream.go
@@ -33,8 +33,11 @@
 		defer stop()
 	}
 	x.setContentHeaders(content)
+	awaitDiscard, stopDiscard := func() {}, func() {}
 	if earlyAnswer {
 		x.answerBeforeUploadEnds()
+		awaitDiscard, stopDiscard = x.beginDiscard()
+		defer stopDiscard()
 	}
 	endsWithConnection := x.http10 && content.Length < 0
 	out := &clientWriter{ResponseWriter: x.writer, control: http.NewResponseController(x.writer), flushEach: !complete}
@@ -46,6 +49,7 @@
 	}
 	if _, err := content.Pipe.WriteTo(out); err != nil {
 		if !out.headWritten && x.ctx.Err() == nil {
+			stopDiscard()
 			x.writer.Header().Del("Content-Length")
 			x.answer(core.Answer{Kind: core.Failed, Reason: event.AnswerTruncated})
 			return
@@ -61,7 +65,7 @@
 	}
 	x.server.Metrics.RequestAnswered(x.call.Class, metrics.Completed)
 	if earlyAnswer {
-		x.discardUpload(out.control)
+		x.finishDiscard(out.control, awaitDiscard)
 	}
 }
 
