Slow answers and slow readers in the soak; orders of events at the deadline

New rules: cut off (a failed request whose server began its answer 0.1 s and more before the deadline), held back (2 s more than the server's own pauses).

--- a/internal/agent/slow_answer_test.go
+++ b/internal/agent/slow_answer_test.go
@@ -4,13 +4,17 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"ryeweir/internal/config/platform"
 	"ryeweir/internal/emulator/peer"
 )
@@ -256,3 +260,59 @@
 		})
 	}
 }
+
+// Whatever the order in which the head, the pieces and the end of an answer come around the deadline, its client must get either the answer as its
+// endpoint gives it, or an error in its time. The answer must be passed on if its head began before the deadline and was complete a moment later.
+func TestAnswerAroundTheDeadlineIsPassedOnOrFailedInTime(t *testing.T) {
+	const deadline = requestTimeout - 20*time.Millisecond // the agent's margin
+	framings := slowAnswerFramings()
+	names := slices.Sorted(maps.Keys(framings))
+	rapid.Check(t, func(rt *rapid.T) {
+		framing := framings[rapid.SampledFrom(names).Draw(rt, "framing")]
+		aroundDeadline := rapid.SampledFrom([]time.Duration{-100 * time.Millisecond, -5 * time.Millisecond, -time.Microsecond, time.Microsecond, 5 * time.Millisecond})
+		pace := answerPace{
+			headAfter:  deadline + aroundDeadline.Draw(rt, "head, from the deadline on"),
+			firstAfter: rapid.SampledFrom([]time.Duration{0, 3 * time.Millisecond, 90 * time.Millisecond, 400 * time.Millisecond}).Draw(rt, "body, from the head on"),
+			pieceBytes: rapid.SampledFrom([]int{4 << 10, 30 << 10, 70 << 10, slowAnswerBytes}).Draw(rt, "bytes of a piece"),
+			pause:      rapid.SampledFrom([]time.Duration{time.Millisecond, 60 * time.Millisecond, 1100 * time.Millisecond}).Draw(rt, "pause"),
+		}
+		steps := slowAnswer(framing, pace)
+		headBegins := pace.headAfter
+		if rapid.Bool().Draw(rt, "the head comes in two pieces") {
+			headBegins -= time.Millisecond
+			cut := len(framing.head) - 3
+			steps[1], steps[2] = peer.Wait(headBegins), func(s *peer.Session) error {
+				io.WriteString(s.Conn, framing.head[:cut])
+				time.Sleep(time.Millisecond)
+				_, err := io.WriteString(s.Conn, framing.head[cut:])
+				return err
+			}
+		}
+		stopAfter := rapid.SampledFrom([]time.Duration{0, 0, 10 * time.Millisecond, deadline}).Draw(rt, "the agent is to end after")
+		synctest.Test(t, func(t *testing.T) {
+			a := startScriptedAgent(t, steps)
+			client := a.connectAndWrite(requestHead("POST", "/place-order", 0))
+			requestEnd := time.Now()
+			if stopAfter > 0 {
+				time.AfterFunc(stopAfter, a.stop)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(client), nil)
+			if err != nil {
+				rt.Fatalf("no answer: %v", err)
+			}
+			answeredAfter := time.Since(requestEnd)
+			body, err := io.ReadAll(response.Body)
+			client.Close()
+			a.close()
+			passedOn := response.StatusCode == http.StatusOK
+			switch {
+			case answeredAfter > requestTimeout:
+				rt.Errorf("status %d after %v", response.StatusCode, answeredAfter)
+			case passedOn && (err != nil || len(body) != slowAnswerBytes):
+				rt.Errorf("cut off after %d bytes: %v", len(body), err)
+			case !passedOn && headBegins < deadline:
+				rt.Errorf("status %d, although the head began %v before the deadline", response.StatusCode, deadline-headBegins)
+			}
+		})
+	})
+}
--- a/internal/soak/answer.go
+++ b/internal/soak/answer.go
@@ -127,6 +127,7 @@
 		return r.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n", r.normal)
 	},
 	SplitResponse: (*response).writeSplit,
+	SlowAnswer:    (*response).writeSlowly,
 	PausedResponse: func(r *response) bool {
 		half := r.withoutSecondHalf()
 		r.write(half)
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,7 @@
 	Processed     bool          `json:"processed"` // false: rejected or incomplete
 	ResponseBody  string        `json:"answer"`    // the body of a successful response to it
 	Mode          Mode          `json:"did"`       // how the backend responded
+	GivesFrom     time.Duration `json:"gives"`     // when it begins to give a SlowAnswer; 0 in other modes
 }
 
 // backend is the state of a backend's process.
@@ -88,7 +90,7 @@
 func (b *backend) drawMode() Mode {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, mode := range backendModes {
+	for _, mode := range append(slices.Clone(backendModes), slowModes...) {
 		if p := b.modes[mode]; p > 0 && b.rng.Float64() < p {
 			return mode
 		}
@@ -161,7 +163,7 @@
 		io.Copy(io.Discard, reader)
 		return false
 	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+	if err := b.readBody(conn, request.Body, mode); err != nil {
 		b.record(attempt)
 		return false
 	}
@@ -170,11 +172,24 @@
 	b.serial++
 	attempt.ResponseBody = fmt.Sprintf("%s by %s.%d no %d", attempt.Request, b.id, b.instance, b.serial)
 	b.mu.Unlock()
+	if mode == SlowAnswer {
+		attempt.GivesFrom = attempt.CompleteAt + b.randomDuration(0, max(0, min(attempt.StatedTimeout, 2*time.Second)))
+	}
 	attempt.Processed = mode != Reject && mode != DelayedReject
 	b.record(attempt) // before the response, so that no client gets a response whose attempt is not recorded
 	return b.respond(conn, attempt, mode)
 }
 
+// readBody reads the body of a request in the given mode.
+func (b *backend) readBody(conn *net.TCPConn, body io.Reader, mode Mode) error {
+	if mode == SlowReader {
+		conn.SetReadBuffer(slowReadBuffer)
+		return b.readSlowly(body)
+	}
+	_, err := io.Copy(io.Discard, body)
+	return err
+}
+
 // statedTimeout parses the value of X-Timeout in microseconds, and returns -1 if it is missing or unreadable.
 func statedTimeout(text string) time.Duration {
 	n, err := strconv.ParseInt(strings.TrimSuffix(text, "u"), 10, 64)
--- a/internal/soak/check_request.go
+++ b/internal/soak/check_request.go
@@ -23,6 +23,7 @@
 		check.checkClosedByClient(request, attempts)
 	case request.SentAt > 0:
 		check.checkResponse(request, attempts)
+		check.checkSlowAnswer(request, attempts)
 		check.checkDeadline(request, attempts)
 	}
 }
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -19,6 +19,7 @@
 	slowStartRateWindow = 2 * time.Second        // over which the requests to a server in slow start are counted
 	acceptsAfterTerm    = 400 * time.Millisecond // for which an agent accepts new connections after SIGTERM
 	capacityMargin      = 1.2                    // capacity of a server, relative to its share of all requests
+	holdBound           = 2 * time.Second        // for which a part of an answer may be held back
 	killMargin          = 700 * time.Millisecond // from the longest deadline to the SIGKILL that follows a SIGTERM
 )
 
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -68,6 +68,8 @@
 	ReceivedBody      string        // body of the response, without the padding of a long one
 	Complete          bool          // the response was received completely
 	ReceivedBytes     int           // length of the received body plus 1; 0: no response
+	LongestGap        time.Duration // the longest time between two pieces of the response
+	HTTP10            bool          // it was sent by HTTP/1.0
 	Err               string        // why sending or reading failed; empty: it did not
 	Resent            bool          // the request was sent once more after its connection closed without a response
 	StoppedAt         time.Duration // when a client that stops within the request stopped; 0: never
@@ -146,6 +148,7 @@
 	if request.Behavior == shortTimeout {
 		request.Timeout = time.Duration(1+c.rng.IntN(120)) * time.Millisecond
 	}
+	request.HTTP10 = c.rng.Float64() < c.plan.http10Share
 	c.requests = append(c.requests, request)
 	return request, drawnClass
 }
@@ -198,7 +201,7 @@
 		if closedUnanswered := request.Status == 0 && request.ReceivedBytes == 0 && request.ClosedAt == 0 && request.ConnectionUses > 0 && request.StoppedAt == 0; !closedUnanswered || request.Resent || request.Err == responseTimeout {
 			return
 		}
-		*request = Request{ID: request.ID, Agent: request.Agent, Class: request.Class, Behavior: request.Behavior, Timeout: request.Timeout, Resent: true}
+		*request = Request{ID: request.ID, Agent: request.Agent, Class: request.Class, Behavior: request.Behavior, Timeout: request.Timeout, HTTP10: request.HTTP10, Resent: true}
 		forceNew = true
 	}
 }
--- a/internal/soak/client_send.go
+++ b/internal/soak/client_send.go
@@ -18,6 +18,25 @@
 // responseWaitMargin is how long a client waits for the response after the request's timeout has passed.
 const responseWaitMargin = 1500 * time.Millisecond
 
+// slowAnswerWait is how long a client waits for the rest of a response whose head has arrived, beyond the request's timeout.
+const slowAnswerWait = 8 * time.Second
+
+// gapReader notes the longest time between two reads of a response.
+type gapReader struct {
+	source  io.Reader
+	request *Request
+	last    time.Duration // when the latest piece came
+}
+
+// Read implements io.Reader.
+func (g *gapReader) Read(p []byte) (int, error) {
+	n, err := g.source.Read(p)
+	now := monotonic()
+	g.request.LongestGap = max(g.request.LongestGap, now-g.last)
+	g.last = now
+	return n, err
+}
+
 // render returns the head and the body of a request.
 func (c *clients) render(request *Request, requestClass class) (head, body string) {
 	method := "POST"
@@ -28,7 +47,11 @@
 	if request.Behavior == longBody || request.Behavior == closesInLongBody {
 		size = 70<<10 + int(c.randomDuration(0, 150<<10))
 	}
-	head = fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: soak\r\nX-Request-ID: %s\r\nX-Timeout: %dm\r\n", method, requestClass.name, request.ID, request.Timeout.Milliseconds())
+	version := "HTTP/1.1"
+	if request.HTTP10 {
+		version = "HTTP/1.0"
+	}
+	head = fmt.Sprintf("%s /%s %s\r\nHost: soak\r\nX-Request-ID: %s\r\nX-Timeout: %dm\r\n", method, requestClass.name, version, request.ID, request.Timeout.Milliseconds())
 	if requestClass.effect == idempotentWithKey {
 		head += "Idempotency-Key: key-" + request.ID + "\r\n"
 	}
@@ -75,7 +98,10 @@
 		return
 	}
 	request.ResponseStartedAt = monotonic()
-	text, err := io.ReadAll(resp.Body)
+	if resp.StatusCode == http.StatusOK {
+		conn.SetReadDeadline(time.Now().Add(request.Timeout + slowAnswerWait))
+	}
+	text, err := io.ReadAll(&gapReader{source: resp.Body, request: request, last: request.ResponseStartedAt})
 	stop()
 	request.ReceivedBytes = 1 + len(text)
 	request.Status, request.EndedAt = resp.StatusCode, monotonic()
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -35,6 +35,7 @@
 	ServerCrash      FaultKind = "server-crash"       // the server is killed, and starts again before discovery lists a change
 	ServerPause      FaultKind = "server-pause"       // SIGSTOP, and SIGCONT after the duration
 	ServerMode       FaultKind = "server-mode"        // the server responds to half of its requests in one misbehaving Mode
+	ServerSlow       FaultKind = "server-slow"        // the server gives half of its answers, or reads half of its requests, slowly
 	ServerResets     FaultKind = "server-resets"      // the server resets all its connections
 	PathCut          FaultKind = "path-cut"           // no data passes on the path to a server
 	PathSlow         FaultKind = "path-slow"          // 40 ms of delay and 60 ms of jitter on the path to a server
@@ -100,7 +101,7 @@
 		Duration: 100*time.Millisecond + time.Duration(rng.Float64()*float64(maxFaultDuration-100*time.Millisecond)), Count: 1 + rng.IntN(4)}
 	fault.Target = rng.IntN(plan.Agents)
 	switch fault.Kind {
-	case ServerDrain, ServerCrash, ServerPause, ServerMode, ServerResets, ServerReplaced, PathCut, PathSlow, PathReset:
+	case ServerDrain, ServerCrash, ServerPause, ServerMode, ServerSlow, ServerResets, ServerReplaced, PathCut, PathSlow, PathReset:
 		fault.Target = rng.IntN(plan.Servers)
 	}
 	switch fault.Kind {
@@ -118,6 +119,8 @@
 		fault.Detail = pick(rng, []string{"ENOSPC", "EIO"})
 	case ServerMode:
 		fault.Detail = string(pick(rng, backendModes))
+	case ServerSlow:
+		fault.Detail = string(pick(rng, slowModes))
 	case ClientBurst:
 		fault.Detail = string(pick(rng, burstBehaviors))
 	case StrainingCrowd:
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -11,7 +11,7 @@
 	switch fault.Kind {
 	case AgentTerm, AgentKill, AgentPause, AgentThrottle, AgentReload, AgentMove, AgentMoveAndBack, AgentDrain:
 		r.injectAgentFault(ctx, r.agents[fault.Target], fault)
-	case ServerDrain, ServerCrash, ServerPause, ServerMode, ServerResets, ServerReplaced:
+	case ServerDrain, ServerCrash, ServerPause, ServerMode, ServerSlow, ServerResets, ServerReplaced:
 		r.injectServerFault(ctx, fault.Target, fault)
 	case PathCut, PathSlow, PathReset:
 		r.injectPathFault(ctx, fault)
--- a/internal/soak/inject_servers.go
+++ b/internal/soak/inject_servers.go
@@ -16,7 +16,7 @@
 		return
 	}
 	switch fault.Kind {
-	case ServerMode:
+	case ServerMode, ServerSlow:
 		process.send("mode %s 0.5", fault.Detail)
 		sleep(ctx, fault.Duration)
 		process.send("mode %s 0", fault.Detail)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,6 +34,7 @@
 	OverloadFactor           float64
 	Faults                   []Fault
 	behaviors                []behaviorShare
+	http10Share              float64    // fraction of requests that clients send by HTTP/1.0
 	seeds                    *rand.Rand // for the seeds and ports of the processes, after all draws of the plan
 }
 
@@ -71,6 +72,9 @@
 			p.Faults = append(p.Faults, drawFault(rng, p, at, allowed))
 		}
 	}
+	if len(allowed) == 0 {
+		drawSlowTransfers(p)
+	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
 	return p
 }
