An answer that is forwarded before it is complete is timed by its beginning

A long answer without a length counted with the time for which it was held, up to the deadline, as its latency: a sign of overload, for which others are shed. Such an answer now counts from its head, as one of known length over 64 KiB does.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -71,6 +71,14 @@
 	return max(a.SentAt, time.Duration(a.writtenAt.Load()))
 }
 
+// latency returns how long the endpoint took for a response whose outcome is known now.
+func (a *Attempt) latency(outcome Outcome, now time.Duration) time.Duration {
+	if outcome.BegunAt > 0 {
+		now = outcome.BegunAt
+	}
+	return max(0, now-a.AwaitingSince())
+}
+
 // Report reports the outcome. It must be called exactly once: a further outcome is counted as a violation and discarded.
 func (a *Attempt) Report(outcome Outcome) {
 	if !a.reported.CompareAndSwap(false, true) {
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -80,7 +80,7 @@
 		Attempt:       attempt.Number,
 		Endpoint:      attempt.Endpoint,
 		Result:        outcome.Result,
-		Latency:       c.clock.Now() - attempt.AwaitingSince(),
+		Latency:       attempt.latency(outcome, c.clock.Now()),
 		Closed:        call.finished.Load(),
 		NotReplayable: outcome.NotReplayable,
 		LoadReport:    outcome.LoadReport,
--- a/internal/core/upstream.go
+++ b/internal/core/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"ryeweir/logic"
 )
@@ -37,6 +38,9 @@
 	LoadReport    logic.LoadReport // from the endpoint; logic.NoLoadReport if there is none
 	Content       Content          // only if Result is logic.OK
 	NotReplayable bool             // the call's message has been consumed and can't be sent again
+	// BegunAt is when the answer began, on the core's clock, if it is forwarded before it is complete; 0 otherwise. Such an answer is timed by its
+	// beginning: how long it takes in all depends on its length.
+	BegunAt time.Duration
 }
 
 // outcomeWithoutContent returns the outcome of an attempt that received no answer.
--- a/internal/upstream/http/hold.go
+++ b/internal/upstream/http/hold.go
@@ -37,6 +37,7 @@
 
 	mu       sync.Mutex
 	content  *httpmsg.Content // nil until the head of a successful response has arrived
+	begunAt  time.Duration    // when that head arrived, on the agent's clock
 	released bool             // the body belongs to the client once part of it has arrived
 	timer    *time.Timer      // releases the response; nil if nothing does after a time
 	// ended is set when the exchange has ended. After that the hold must not change the deadline of the connection, which may carry another
@@ -48,7 +49,7 @@
 func (h *hold) begin(content *httpmsg.Content, chunked bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.content = content
+	h.content, h.begunAt = content, h.exchange.Clock.Now()
 	switch {
 	case content.Length > httpmsg.MaxBufferedBytes:
 		h.released = true
@@ -136,6 +137,7 @@
 func (h *hold) forward() {
 	x := h.exchange
 	if !h.ended && x.reported.CompareAndSwap(false, true) {
+		x.outcome.BegunAt = h.begunAt
 		x.state.deadline.refresh()
 		x.attempt.Report(x.outcome)
 	}
--- a/internal/upstream/http/hold_test.go
+++ b/internal/upstream/http/hold_test.go
@@ -31,6 +31,9 @@
 	if held := time.Since(began); out.Result != logic.OK || held > 2*time.Second {
 		t.Fatalf("result %v after %v", out.Result, held)
 	}
+	if latency := out.BegunAt - attempt.SentAt; latency <= 0 || latency > undelimitedHoldTime/2 {
+		t.Errorf("the answer counts as begun after %v, although it was held", latency)
+	}
 	var body strings.Builder
 	if _, err := out.Content.(*httpmsg.Content).Pipe.WriteTo(&body); body.String() != "fine" || !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("body %q, error %v", body.String(), err)
