--- a/internal/core/response.go
+++ b/internal/core/response.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"ryeweir/internal/event"
 	"ryeweir/logic"
 )
 
@@ -84,6 +85,13 @@
 	call := c.calls[action.Request]
 	for attempt := call.inFlight; attempt != nil; attempt = attempt.previous {
 		if attempt.Number == action.Attempt {
+			c.config.Events.Record(event.Event{
+				Kind:     event.AnswerWaitEnded,
+				Reason:   decisionReasons[action.Reason],
+				Request:  call.ID,
+				Attempt:  attempt.Number,
+				Endpoint: attempt.Endpoint,
+			})
 			c.attempts.Go(attempt.EndWait)
 		}
 	}
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -13,6 +13,7 @@
 	RequestAbandoned               // a request ended without an answer; the reason says why
 	AttemptDecided                 // the balancer decided on an attempt; the reason says which: first, retry, hedged or half-open
 	AttemptWritten                 // the last byte of an attempt was written to the endpoint's connection
+	AnswerWaitEnded                // the wait for an answer that is under way ended, and what has arrived of it is passed on; the reason says why
 	AttemptEnded                   // an attempt ended; the reason is its result
 	UpstreamOpened                 // a connection to an endpoint was established
 	UpstreamClosed                 // a connection to an endpoint was closed; the reason says why
@@ -33,6 +34,7 @@
 	RequestAbandoned:   "request_abandoned",
 	AttemptDecided:     "attempt_decided",
 	AttemptWritten:     "attempt_written",
+	AnswerWaitEnded:    "answer_wait_ended",
 	AttemptEnded:       "attempt_ended",
 	UpstreamOpened:     "upstream_opened",
 	UpstreamClosed:     "upstream_closed",
