--- a/internal/soak/slow.go
+++ b/internal/soak/slow.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -127,9 +128,13 @@
 
 // slowAnswerExcused reports whether a fault beside the slow answer may have ended it, or kept it from the agent.
 func (check *checker) slowAnswerExcused(request *Request, attempt Attempt) bool {
-	server := check.serverIndex[attempt.Backend]
+	server, incarnation := check.serverIndex[attempt.Backend], check.incarnationOf(request)
+	if incarnation.killedAt > 0 && incarnation.killedAt <= request.EndedAt+check.tolerance ||
+		slices.ContainsFunc(incarnation.clientReadFaults, func(f span) bool { return f.overlaps(request.SentAt-time.Second, request.EndedAt, 0) }) {
+		return true
+	}
 	if check.servers[server].instance > attempt.Instance || check.overLimit(request) ||
-		check.disturbed(check.incarnationOf(request), server, attempt.FirstByteAt, request.EndedAt) {
+		check.disturbed(incarnation, server, attempt.FirstByteAt, request.EndedAt) {
 		return true
 	}
 	for _, fault := range check.plan.Faults {
