A request longer than its Content-Length is not forwarded by part

Cause: a length in a head stood for "whole"; nobody looked at what came behind the body. internal/framing follows the messages, and now tells whether bytes behind a message with a length can begin a request. The front asks it before a buffered request is submitted, when what has arrived has been read (connlimit.SettleInput, as for clients that have left), and before the last bytes of a streamed one go to its endpoint.

Open: a rest that is sent some time later, or that begins with the name of a method.

--- a/internal/agent/long_body_test.go
+++ b/internal/agent/long_body_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"testing"
+	"time"
 
 	"ryeweir/internal/testkit"
 )
@@ -76,3 +81,38 @@
 		}
 	}
 }
+
+// Guards against a part of a request that runs as if it were the whole: its head told a smaller length than its body had. The client must get an error or
+// a close, and no endpoint the request.
+func TestRequestLongerThanItsLengthIsNotForwarded(t *testing.T) {
+	for _, length := range []struct{ told, size int }{
+		{0, 10}, {10, 20}, {1000, 1001}, {1000, 2000}, {6000, 12000}, {40000, 80000}, {65536, 65600}, {100000, 100500}, {300000, 600000},
+	} {
+		t.Run(fmt.Sprintf("%d of %d", length.told, length.size), func(t *testing.T) {
+			t.Parallel()
+			b := testkit.NewBackend(t, testkit.RespondWith(testkit.OKResponse))
+			a := startAgent(t, testkit.NewDiscovery(t, 1, testkit.EndpointJSON("s-1", b.Addr().String(), "Ready", 0)), 0)
+			for range 5 {
+				client := a.dial(t)
+				var request bytes.Buffer
+				a.pay(t, longText(length.told)).Write(&request)
+				if length.told == 0 {
+					request.Reset()
+					fmt.Fprintf(&request, "POST /pay HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %016x\r\nX-Tenant-Id: acme\r\nContent-Length: 0\r\n\r\n", rand.Uint64())
+				}
+				request.WriteString(longText(length.size)[length.told:])
+				go client.Write(request.Bytes())
+				client.SetReadDeadline(time.Now().Add(3 * time.Second))
+				if resp, err := http.ReadResponse(bufio.NewReader(client), nil); err == nil && resp.StatusCode < 400 {
+					t.Errorf("status %d", resp.StatusCode)
+				} else if errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Error("neither an error nor a close within 3 s")
+				}
+				client.Close()
+			}
+			if n := b.Requests(); n != 0 {
+				t.Errorf("an endpoint read %d requests", n)
+			}
+		})
+	}
+}
--- a/internal/agent/slow_answer_test.go
+++ b/internal/agent/slow_answer_test.go
@@ -316,3 +316,28 @@
 		})
 	})
 }
+
+// The same for an answer to a request that its client writes slowly, whose time begins with its last byte.
+func TestSlowAnswerToASlowUploadIsPassedOn(t *testing.T) {
+	const pieces, pieceTime = 40, 62 * time.Millisecond // of uploadSlowly; 160 KiB
+	for framingName, framing := range slowAnswerFramings() {
+		for paceName, pace := range slowAnswerPaces() {
+			for _, chunked := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, upload in chunks %v", framingName, paceName, chunked), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) {
+						a := startScriptedAgent(t, slowAnswer(framing, pace))
+						defer a.close()
+						lastByte := time.Now().Add((pieces - 1) * pieceTime)
+						if chunked {
+							lastByte = lastByte.Add(pieceTime) // the last chunk
+						}
+						client := a.uploadSlowly(pieces, chunked).(net.Conn)
+						defer client.Close()
+						readSlowAnswer(t, client, pace, lastByte, requestTimeout)
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -39,6 +39,7 @@
 	// Results of the scanner, for handlers. They are atomic because net/http may read further while a handler runs.
 	ambiguous      atomic.Bool
 	desynchronized atomic.Bool
+	bodyContinues  atomic.Bool
 
 	mu       sync.Mutex // guards the fields below
 	reserved int        // bytes of the budget for the current head
@@ -59,6 +60,9 @@
 	if c.scanner.desynchronized {
 		c.desynchronized.Store(true)
 	}
+	if c.scanner.bodyContinues {
+		c.bodyContinues.Store(true)
+	}
 	c.refused = readable < n || !c.reserveHead(c.scanner.headCost())
 	if c.refused && readable == 0 {
 		return 0, ErrHeadRefused
--- a/internal/framing/scanner.go
+++ b/internal/framing/scanner.go
@@ -22,6 +22,9 @@
 	desynchronized bool   // the message boundaries are lost
 	bodyRemaining  int64  // bytes of the current body or chunk still to be skipped
 	line           []byte // the first bytes of the current line, or the last bytes of a request line
+	behindLength   bool   // the message before the one that begins here had a length
+	start          messageStart
+	bodyContinues  bool // what follows a message with a length begins no request
 
 	// State of the head that is being read.
 	headBytes           int
@@ -67,6 +70,10 @@
 			rest = rest[n:]
 			continue
 		}
+		if s.behindLength && s.state == inHead && (!s.requestLineDone || len(s.start.bytes) == 0) {
+			s.start.add(rest)
+			s.bodyContinues = s.bodyContinues || s.start.beginsNoRequest()
+		}
 		end := bytes.IndexByte(rest, '\n')
 		if end < 0 {
 			s.appendToLine(rest)
@@ -146,7 +153,8 @@
 
 // endHead continues with the body, or with the next head if there is no body.
 func (s *scanner) endHead() {
-	next := scanner{ambiguous: s.ambiguous, desynchronized: s.desynchronized, bodyRemaining: s.contentLength, line: s.line}
+	next := scanner{ambiguous: s.ambiguous, desynchronized: s.desynchronized, bodyRemaining: s.contentLength, line: s.line,
+		behindLength: s.hasLength && !s.hasTransferEncoding}
 	if s.hasTransferEncoding {
 		next.desynchronized = s.desynchronized || s.ambiguous || !s.chunked
 		next.bodyRemaining = 0
--- a/internal/framing/scanner_test.go
+++ b/internal/framing/scanner_test.go
@@ -168,3 +168,24 @@
 }
 
 func (c readerConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+
+// What follows a message with a length must be told from a request, in whatever pieces it comes: it is the rest of a body whose head tells too little.
+// Requests, their beginnings and empty lines are none.
+func TestRestOfABodyIsToldFromARequest(t *testing.T) {
+	for text, want := range map[string]bool{
+		"": false, "\r\n": false, "G": false, "POST": false, "OPTIONS /": false, "\r\nGET / HTTP/1.1\r\n\r\n": false, "GET / HTTP/1.1\r\n\r\nxxx": false,
+		"x": true, "get / HTTP/1.1\r\n": true, "GETS /": true, "\r\nx": true, "{}": true, "POSTx": true, "\x00": true,
+	} {
+		for _, message := range []string{"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody", "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n"} {
+			for size := 1; size <= len(message)+len(text); size++ {
+				var s scanner
+				for rest := message + text; len(rest) > 0; rest = rest[min(size, len(rest)):] {
+					s.scan([]byte(rest[:min(size, len(rest))]))
+				}
+				if s.bodyContinues != want {
+					t.Fatalf("%q in pieces of %d: %v", text, size, s.bodyContinues)
+				}
+			}
+		}
+	}
+}
--- a/internal/front/http/exchange.go
+++ b/internal/front/http/exchange.go
@@ -9,6 +9,7 @@
 	"ryeweir/internal/connlimit"
 	"ryeweir/internal/core"
 	"ryeweir/internal/event"
+	"ryeweir/internal/framing"
 	"ryeweir/internal/httpmsg"
 )
 
@@ -19,6 +20,7 @@
 type exchange struct {
 	server      *Server
 	writer      http.ResponseWriter
+	request     *http.Request
 	ctx         context.Context // canceled when the client disconnects
 	cancelCtx   context.CancelFunc
 	http10      bool // the client speaks HTTP/1.0
@@ -34,6 +36,7 @@
 	return &exchange{
 		server:      s,
 		writer:      w,
+		request:     r,
 		ctx:         ctx,
 		cancelCtx:   cancel,
 		http10:      !r.ProtoAtLeast(1, 1),
@@ -47,6 +50,11 @@
 func (x *exchange) run() {
 	defer x.finish()
 	x.begin()
+	if x.upload == nil && x.bodyContinues() {
+		x.releaseBody()
+		x.server.answerInvalid(x.writer, x.request, x.call.Class, bodyError(httpmsg.ErrBodyTooLong))
+		return
+	}
 	if !x.admit() {
 		x.shed()
 		return
@@ -78,6 +86,10 @@
 	}
 }
 
+// bodyContinues reports whether the client has sent more of the request than its length tells. It must be called when what has arrived behind the
+// request has been read.
+func (x *exchange) bodyContinues() bool { return framing.BodyContinues(x.ctx) }
+
 // endUnsubmitted ends a request whose client has left before it was submitted. It does not return.
 func (x *exchange) endUnsubmitted() {
 	x.releaseBody()
@@ -125,13 +137,22 @@
 }
 
 // uploadCompleted is called by the goroutine that reads the last byte of the body. When that byte arrived does not tell when the client wrote it: it
-// may have waited in the client's kernel until the agent read on.
-func (x *exchange) uploadCompleted() {
+// may have waited in the client's kernel until the agent read on. If the body goes on behind its length, it returns an error.
+func (x *exchange) uploadCompleted() error {
+	elapsed := x.upload.Upload.Elapsed(time.Now())
+	disconnected := connlimit.OnDisconnect(x.ctx, x.cancelCtx)
+	if !disconnected && x.upload.Upload.Length >= 0 && connlimit.SettleInput(x.ctx, settleLimit) {
+		disconnected = true
+	}
+	if x.bodyContinues() {
+		return httpmsg.ErrBodyTooLong
+	}
 	x.recordReceived()
-	x.server.Core.BodyReceived(x.call, x.server.Clock.Now()-x.upload.Upload.Elapsed(time.Now()))
-	if connlimit.OnDisconnect(x.ctx, x.cancelCtx) {
+	x.server.Core.BodyReceived(x.call, x.server.Clock.Now()-elapsed)
+	if disconnected {
 		x.cancelCtx()
 	}
+	return nil
 }
 
 // finish takes the request out of the counts of open requests and cancels its context. It also runs when the handler panics with
--- a/internal/front/http/invalid.go
+++ b/internal/front/http/invalid.go
@@ -32,6 +32,9 @@
 	if errors.Is(err, httpmsg.ErrBodyTooLarge) {
 		return invalidError{http.StatusRequestEntityTooLarge, err.Error()}
 	}
+	if errors.Is(err, httpmsg.ErrBodyTooLong) {
+		return invalidError{http.StatusBadRequest, err.Error()}
+	}
 	return errTruncatedBody
 }
 
--- a/internal/httpmsg/limit.go
+++ b/internal/httpmsg/limit.go
@@ -8,6 +8,9 @@
 // ErrBodyTooLarge means that a body is longer than MaxBodyBytes. Its text is sent to the client.
 var ErrBodyTooLarge = errors.New("the body is over 32 MiB")
 
+// ErrBodyTooLong means that a client sent more of a body than its Content-Length tells. Its text is sent to the client.
+var ErrBodyTooLong = errors.New("the body is longer than its Content-Length")
+
 // LimitBody returns a reader of a body that may be longer than MaxBodyBytes. It returns at most MaxBodyBytes, and fails with
 // ErrBodyTooLarge if the body goes on after them.
 //
--- a/internal/httpmsg/readahead_test.go
+++ b/internal/httpmsg/readahead_test.go
@@ -35,7 +35,7 @@
 		}
 		budget := bodybuffer.NewBudget(budgetBytes)
 		completed := 0
-		r := &Remainder{Budget: budget, OnComplete: func() { completed++ },
+		r := &Remainder{Budget: budget, OnComplete: func() error { completed++; return nil },
 			Upload: &Upload{Source: source, Length: -1, SetReadDeadline: func(time.Time) error { return nil }}}
 		var got []byte
 		var err error
@@ -73,7 +73,7 @@
 func TestReadAheadBesideAnAttempt(t *testing.T) {
 	for i := range 400 {
 		want := patternBytes(10<<10 + i%10*(100<<10))
-		r := &Remainder{Budget: bodybuffer.NewBudget(64 << 20), OnComplete: func() {},
+		r := &Remainder{Budget: bodybuffer.NewBudget(64 << 20), OnComplete: func() error { return nil },
 			Upload: &Upload{Source: iotest.DataErrReader(bytes.NewReader(want)), Length: -1, SetReadDeadline: func(time.Time) error { return nil }}}
 		var ahead sync.WaitGroup
 		ahead.Go(func() {
@@ -95,7 +95,7 @@
 			reader, writer := io.Pipe()
 			go writer.Write(make([]byte, 32<<20))
 			budget := bodybuffer.NewBudget(budgetBytes)
-			r := &Remainder{Budget: budget, OnComplete: func() {}, Upload: &Upload{Source: reader, Length: -1, SetReadDeadline: func(time.Time) error { return nil }}}
+			r := &Remainder{Budget: budget, OnComplete: func() error { return nil }, Upload: &Upload{Source: reader, Length: -1, SetReadDeadline: func(time.Time) error { return nil }}}
 			r.ReadAhead()
 			if r.Upload.received.Load() > 0 {
 				t.Error("read ahead before an attempt has begun to read")
--- a/internal/httpmsg/remainder.go
+++ b/internal/httpmsg/remainder.go
@@ -13,7 +13,7 @@
 	Upload     *Upload
 	Budget     *bodybuffer.Budget // for ReadAhead, which does nothing without it
 	BeforeRead func()             // called before each read of the upload; may be nil
-	OnComplete func()             // called once, by the goroutine that reads the end
+	OnComplete func() error       // called once, by the goroutine that reads the end, whose read fails with the error
 
 	reading sync.Mutex // held while the upload is read; locked before mu
 
@@ -59,10 +59,12 @@
 	if err != nil && err != io.EOF && r.Stopped() {
 		err = errRequestEnded
 	}
-	r.record(p[:n], err, ahead)
 	if err == io.EOF {
-		r.OnComplete()
+		if invalid := r.OnComplete(); invalid != nil {
+			n, err = 0, invalid
+		}
 	}
+	r.record(p[:n], err, ahead)
 	return n, err
 }
 
--- a/internal/httpmsg/remainder_test.go
+++ b/internal/httpmsg/remainder_test.go
@@ -17,7 +17,7 @@
 			deadlines = append(deadlines, t)
 			return nil
 		}}
-		r := &Remainder{Upload: upload, OnComplete: func() {}}
+		r := &Remainder{Upload: upload, OnComplete: func() error { return nil }}
 		if complete {
 			if _, err := io.Copy(io.Discard, r); err != nil {
 				t.Fatal(err)
--- a/internal/upstream/http/send_test.go
+++ b/internal/upstream/http/send_test.go
@@ -144,7 +144,7 @@
 	attempt.Call.BodyPending = true
 	attempt.Call.Message = &httpmsg.Message{
 		Head: []byte("POST /pay HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\nContent-Length: 100000\r\n"),
-		Body: httpmsg.Body{Buffered: []byte("body"), Length: 100000, Remainder: &httpmsg.Remainder{OnComplete: func() {},
+		Body: httpmsg.Body{Buffered: []byte("body"), Length: 100000, Remainder: &httpmsg.Remainder{OnComplete: func() error { return nil },
 			Upload: &httpmsg.Upload{Source: iotest.ErrReader(errClientLeft), SetReadDeadline: func(time.Time) error { return nil }}}}}
 	go f.Execute(t.Context(), attempt.Attempt)
 	select {
