--- a/internal/front/http/answer.go
+++ b/internal/front/http/answer.go
@@ -48,7 +48,8 @@
 	x.writer.WriteHeader(status)
 	x.server.Metrics.RequestAnswered(x.call.Class, outcome)
 	if x.upload != nil {
-		x.finishDiscard(http.NewResponseController(x.writer), x.upload.Drain)
+		x.flushBeforeDiscard(http.NewResponseController(x.writer))
+		x.upload.Drain()
 		endAfterAnswer(x.upload)
 	}
 }
@@ -79,31 +80,6 @@
 	http.NewResponseController(x.writer).EnableFullDuplex()
 }
 
-// beginDiscard begins to read and discard the rest of the body while the answer is written. Without it, a client that sends its whole body before it
-// reads would wait for the agent to read, and the agent for it. It returns a function that waits for the end of the body, and one that ends the
-// discarding at once. The handler must call one of them before it returns.
-func (x *exchange) beginDiscard() (await, stop func()) {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		x.upload.Drain()
-	}()
-	await = func() { <-ended }
-	stop = func() {
-		x.upload.Stop()
-		<-ended
-	}
-	return await, stop
-}
-
-// finishDiscard flushes an answer, and waits until the rest of the body has been discarded. Otherwise a client that still sends would find the
-// connection closed and would not see the answer.
-func (x *exchange) finishDiscard(control *http.ResponseController, await func()) {
-	control.Flush()
-	connlimit.BeginDiscard(x.ctx)
-	await()
-}
-
 // answerBrokenUpload answers a request whose body could not be read completely.
 func (x *exchange) answerBrokenUpload(err error) {
 	x.recordAnswer(event.UploadTruncated)
--- a/internal/front/http/stream.go
+++ b/internal/front/http/stream.go
@@ -33,11 +33,11 @@
 		defer stop()
 	}
 	x.setContentHeaders(content)
-	awaitDiscard, stopDiscard := func() {}, func() {}
+	var discard *uploadDiscard
 	if earlyAnswer {
 		x.answerBeforeUploadEnds()
-		awaitDiscard, stopDiscard = x.beginDiscard()
-		defer stopDiscard()
+		discard = x.beginDiscard()
+		defer discard.stop()
 	}
 	endsWithConnection := x.http10 && content.Length < 0
 	out := &clientWriter{ResponseWriter: x.writer, control: http.NewResponseController(x.writer), flushEach: !complete}
@@ -49,7 +49,7 @@
 	}
 	if _, err := content.Pipe.WriteTo(out); err != nil {
 		if !out.headWritten && x.ctx.Err() == nil {
-			stopDiscard()
+			discard.stop()
 			x.writer.Header().Del("Content-Length")
 			x.answer(core.Answer{Kind: core.Failed, Reason: event.AnswerTruncated})
 			return
@@ -65,7 +65,8 @@
 	}
 	x.server.Metrics.RequestAnswered(x.call.Class, metrics.Completed)
 	if earlyAnswer {
-		x.finishDiscard(out.control, awaitDiscard)
+		x.flushBeforeDiscard(out.control)
+		discard.await()
 	}
 }
 
