Of two responses under way the one of which more arrived last is forwarded

A hedged request has two attempts in flight. At the deadline the first one's response was forwarded even where its endpoint had stopped in the middle and the second one was arriving. ResponseUnderWay now says when more arrived last, which also replaces a comparison with the deadline in its handler. TestResponseOfWhichMoreArrivedLastIsForwarded fails with the order of attempts in place of the times.

--- a/internal/core/response.go
+++ b/internal/core/response.go
@@ -74,7 +74,7 @@
 		over := waitOver(call)
 		for attempt := call.inFlight; attempt != nil; attempt = attempt.previous {
 			if attempt.response.underWay(over) {
-				c.handleEvent(logic.ResponseUnderWay{Request: call.ID, Attempt: attempt.Number})
+				c.handleEvent(logic.ResponseUnderWay{Request: call.ID, Attempt: attempt.Number, ArrivedAt: attempt.response.reportedUntil})
 			}
 		}
 	}
--- a/logic/attempt.go
+++ b/logic/attempt.go
@@ -31,7 +31,8 @@
 	zone, cell      int // of the endpoint at the time of the send; a later list may change them
 	sentAt          time.Duration
 	responseDueFrom time.Duration // when the endpoint had the whole request; 0 while the body is arriving
-	lastArrivalAt   time.Duration // when more of the response was last reported to have arrived; 0 before that
+	lastArrivalAt   time.Duration // when more of the response arrived, as last reported; 0 before that
+	responding      bool          // part of the response has arrived
 	inFlight        bool
 	neverExecuted   bool
 }
@@ -169,28 +170,27 @@
 	}
 }
 
-// handleResponseUnderWay notes that the endpoint of an attempt is responding. What is first reported at the
-// deadline does not show that the endpoint is well: it may have stopped in the middle of a response.
+// handleResponseUnderWay notes that the endpoint of an attempt is responding.
 func (b *Balancer) handleResponseUnderWay(e ResponseUnderWay) {
 	r := b.requests[e.Request]
 	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) {
 		return
 	}
 	a := r.attempts[e.Attempt]
-	a.lastArrivalAt = b.now
-	if b.now < r.Deadline {
-		a.endpoint.lastSeen = b.now
-	}
+	a.responding = true
+	a.lastArrivalAt = max(a.lastArrivalAt, e.ArrivedAt)
+	a.endpoint.lastSeen = max(a.endpoint.lastSeen, e.ArrivedAt)
 }
 
-// responseUnderWay returns the first attempt in flight whose response has begun to arrive, or nil.
-func (r *request) responseUnderWay() *attempt {
+// responseUnderWay returns the attempt in flight whose response has begun to arrive, or nil. Of two it is the
+// one of which more has arrived last: the other endpoint may have stopped in the middle of its response.
+func (r *request) responseUnderWay() (latest *attempt) {
 	for _, a := range r.attempts {
-		if a.inFlight && a.lastArrivalAt > 0 {
-			return a
+		if a.inFlight && a.responding && (latest == nil || a.lastArrivalAt > latest.lastArrivalAt) {
+			latest = a
 		}
 	}
-	return nil
+	return latest
 }
 
 // finish ends a request that was not served, with a Reject if the client can safely try again and with a
--- a/logic/deadline_test.go
+++ b/logic/deadline_test.go
@@ -136,6 +136,39 @@
 	}
 }
 
+// Guards against a hedged request whose second response is dropped at the deadline for a first one that stopped.
+func TestResponseOfWhichMoreArrivedLastIsForwarded(t *testing.T) {
+	for _, latest := range []int{0, 1} {
+		settings := testSettings()
+		settings.HedgingAllowed = true
+		h := newHarness(t, settings, 1, 1, 1, 1)
+		for range 100 {
+			id, to := h.sendRequest(cheapClass)
+			h.endAttempt(id, to, 0, OK, loadReport(0.3, 50))
+		}
+		h.advanceTick()
+		deadline := h.clock + 2*time.Second
+		h.Handle(h.clock, Request{ID: "x", Class: cheapClass, Deadline: deadline})
+		hedged := false
+		for !hedged && h.clock < deadline-time.Second {
+			for _, a := range h.advanceTick() {
+				hedged = hedged || a.Kind == Send && a.Request == "x"
+			}
+		}
+		if !hedged {
+			t.Fatal("not hedged")
+		}
+		h.Handle(h.clock, ResponseUnderWay{Request: "x", Attempt: 1 - latest, ArrivedAt: h.clock})
+		h.clock += 100 * time.Millisecond
+		h.Handle(h.clock, ResponseUnderWay{Request: "x", Attempt: latest, ArrivedAt: h.clock})
+		h.Handle(h.clock, ResponseUnderWay{Request: "x", Attempt: 1 - latest}) // it has begun, and that is all
+		want := Action{Kind: Forward, Reason: ShuttingDown, Request: "x", Attempt: latest}
+		if actions := decisionsOf(h.Handle(h.clock, Shutdown{})); len(actions) != 1 || actions[0] != want {
+			t.Errorf("%+v, want %+v", actions, want)
+		}
+	}
+}
+
 // decisionsOf returns the actions that concern requests.
 func decisionsOf(actions []Action) (decisions []Action) {
 	for _, a := range actions {
--- a/logic/event.go
+++ b/logic/event.go
@@ -68,11 +68,14 @@
 		NotReplayable bool          // the request can't be sent again, because its body is not buffered
 		LoadReport    LoadReport
 	}
-	// ResponseUnderWay reports that more of the response of an attempt has arrived, and that its end has not. If
+	// ResponseUnderWay reports that part of the response of an attempt has arrived, and that its end has not. If
 	// any part has arrived when the request's deadline passes or at Shutdown, it must be reported before that.
 	ResponseUnderWay struct {
 		Request string
 		Attempt int // numbered from 0 in the order of the sends
+		// ArrivedAt is when more last arrived of a response that can be forwarded before it is complete. 0 says
+		// that nothing is known but that a response has begun.
+		ArrivedAt time.Duration
 	}
 	// ResponseStarted reports that a streamed response has begun: no further attempt and no final response
 	// may follow.
--- a/logic/hedge_test.go
+++ b/logic/hedge_test.go
@@ -64,7 +64,7 @@
 	hedgedWithin := func(ticks int, arriving bool) bool {
 		for range ticks {
 			if arriving {
-				h.Handle(h.clock, ResponseUnderWay{Request: id})
+				h.Handle(h.clock, ResponseUnderWay{Request: id, ArrivedAt: h.clock})
 			}
 			for _, a := range h.advanceTick() {
 				if a.Kind == Send && a.Request == id {
