--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -14,13 +14,7 @@
 	allowed := c.mayRepeat(call) // before newAttempt, which adds this attempt to those that may have been executed
 	attempt := call.newAttempt(action, c.clock.Now(), c.config.UploadTimeout)
 	attempt.core = c
-	c.config.Events.Record(event.Event{
-		Kind:     event.AttemptDecided,
-		Reason:   decisionReasons[action.Reason],
-		Request:  call.ID,
-		Attempt:  attempt.Number,
-		Endpoint: attempt.Endpoint,
-	})
+	c.recordEvent(event.AttemptDecided, decisionReasons[action.Reason], attempt)
 	attempt.Target = c.upstream.Bind(action.Endpoint)
 	if !allowed || !c.budgetAllows(attempt) {
 		// Report from a goroutine, because the loop must not block on its own queue.
@@ -30,6 +24,17 @@
 	c.attempts.Go(func() { c.runAttempt(attempt) })
 }
 
+// recordEvent records an event of an attempt.
+func (c *Core) recordEvent(kind event.Kind, reason event.Reason, attempt *Attempt) {
+	c.config.Events.Record(event.Event{
+		Kind:     kind,
+		Reason:   reason,
+		Request:  attempt.Call.ID,
+		Attempt:  attempt.Number,
+		Endpoint: attempt.Endpoint,
+	})
+}
+
 // mayRepeat reports whether the next attempt of a call breaks no rule of invariant.Repeat. It uses what the core has itself recorded
 // about the call. A request that must not be executed twice and may have been executed is thus not sent again, even if the balancer
 // decides on a further attempt because the balancer's own state is wrong.
@@ -63,13 +68,7 @@
 func (c *Core) endAttempt(attempt *Attempt, outcome Outcome) {
 	call := attempt.Call
 	call.attemptEnded(attempt, outcome.Result)
-	c.config.Events.Record(event.Event{
-		Kind:     event.AttemptEnded,
-		Reason:   resultReasons[outcome.Result],
-		Request:  call.ID,
-		Attempt:  attempt.Number,
-		Endpoint: attempt.Endpoint,
-	})
+	c.recordEvent(event.AttemptEnded, resultReasons[outcome.Result], attempt)
 	if outcome.Result == logic.OK {
 		c.finishCall(call, Answer{Kind: Served, Reason: event.Served, Content: outcome.Content})
 	}
--- a/internal/core/response.go
+++ b/internal/core/response.go
@@ -85,13 +85,7 @@
 	call := c.calls[action.Request]
 	for attempt := call.inFlight; attempt != nil; attempt = attempt.previous {
 		if attempt.Number == action.Attempt {
-			c.config.Events.Record(event.Event{
-				Kind:     event.AnswerWaitEnded,
-				Reason:   decisionReasons[action.Reason],
-				Request:  call.ID,
-				Attempt:  attempt.Number,
-				Endpoint: attempt.Endpoint,
-			})
+			c.recordEvent(event.AnswerWaitEnded, decisionReasons[action.Reason], attempt)
 			c.attempts.Go(attempt.EndWait)
 		}
 	}
