--- a/internal/agent/long_body_test.go
+++ b/internal/agent/long_body_test.go
@@ -113,6 +113,9 @@
 			if n := b.Requests(); n != 0 {
 				t.Errorf("an endpoint read %d requests", n)
 			}
+			if broken := a.readCounters(t).Invariants["closed_unanswered"]; broken > 0 {
+				t.Errorf("the agent counts %d connections as closed without an answer", broken)
+			}
 		})
 	}
 }
--- a/internal/agent/metrics_test.go
+++ b/internal/agent/metrics_test.go
@@ -17,7 +17,8 @@
 	Pending     int
 	Events      map[string]map[string]int
 	Members     int
-	Unavailable int `json:"members_unavailable"`
+	Unavailable int            `json:"members_unavailable"`
+	Invariants  map[string]int // rules that were broken, with the number of times
 }
 
 // readCounters reads the counters at the operators' address.
--- a/internal/front/http/answer.go
+++ b/internal/front/http/answer.go
@@ -80,6 +80,14 @@
 	http.NewResponseController(x.writer).EnableFullDuplex()
 }
 
+// answerBodyTooLong answers a request that has not been submitted and whose body goes on behind its length.
+func (x *exchange) answerBodyTooLong() {
+	x.releaseBody()
+	x.recordAnswer(event.Malformed)
+	x.server.Metrics.RequestAnswered(x.call.Class, metrics.Failed)
+	writeInvalid(x.writer, bodyError(httpmsg.ErrBodyTooLong))
+}
+
 // answerBrokenUpload answers a request whose body could not be read completely.
 func (x *exchange) answerBrokenUpload(err error) {
 	x.recordAnswer(event.UploadTruncated)
--- a/internal/front/http/exchange.go
+++ b/internal/front/http/exchange.go
@@ -18,7 +18,6 @@
 type exchange struct {
 	server      *Server
 	writer      http.ResponseWriter
-	request     *http.Request
 	ctx         context.Context // canceled when the client disconnects
 	cancelCtx   context.CancelFunc
 	http10      bool // the client speaks HTTP/1.0
@@ -34,7 +33,6 @@
 	return &exchange{
 		server:      s,
 		writer:      w,
-		request:     r,
 		ctx:         ctx,
 		cancelCtx:   cancel,
 		http10:      !r.ProtoAtLeast(1, 1),
@@ -49,8 +47,7 @@
 	defer x.finish()
 	x.begin()
 	if x.upload == nil && x.bodyContinues() {
-		x.releaseBody()
-		x.server.answerInvalid(x.writer, x.request, x.call.Class, bodyError(httpmsg.ErrBodyTooLong))
+		x.answerBodyTooLong()
 		return
 	}
 	if !x.admit() {
