Soak: a slow answer that its server's crash ends is timed by its first bytes

A kill ends the connection regularly, so that the client got less than 64 KiB, complete, 0.67 s after its time; answer_wait_ended stands at the deadline. The check took an answer for a short one by what had been received.

--- a/internal/soak/check_request.go
+++ b/internal/soak/check_request.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -41,7 +42,8 @@
 		}
 	}
 	end := request.EndedAt
-	if flows := request.ReceivedBytes > httpmsg.MaxBufferedBytes || !request.Complete; flows && request.ResponseStartedAt > 0 {
+	longAnswer := request.Status == http.StatusOK && slices.ContainsFunc(attempts, func(at Attempt) bool { return at.Mode == SlowAnswer })
+	if flows := request.ReceivedBytes > httpmsg.MaxBufferedBytes || !request.Complete || longAnswer; flows && request.ResponseStartedAt > 0 {
 		end = request.ResponseStartedAt // a streamed response must start in time; when and how it ends depends on the server
 	}
 	overdue := end - pausedWithin(incarnation, request.SentAt, end) - request.SentAt - request.Timeout
