--- a/internal/soak/check_request.go
+++ b/internal/soak/check_request.go
@@ -57,7 +57,10 @@
 		}
 	case request.Complete:
 	case request.Status > 0:
-		if !slices.ContainsFunc(attempts, check.brokenByServer) {
+		brokenByServer := func(at Attempt) bool {
+			return check.brokenByServer(at) || at.Mode == SlowAnswer && check.slowAnswerExcused(request, at)
+		}
+		if !slices.ContainsFunc(attempts, brokenByServer) {
 			check.report("broken answer", request.EndedAt, request, "client behavior %s: the agent's response with status %d was cut off after %d bytes, and no server caused it: %s", request.Behavior, request.Status, request.ReceivedBytes, request.Err)
 		}
 	case incarnation.termAt > 0 && request.ConnectionUses == 0 && request.SentAt > incarnation.termAt+acceptsAfterTerm: // refused in shutdown
