A forwarded answer is not changed after it has been reported

It had no effect, as the frontend had sent the head by then or was about to. It is set now by whoever reports the answer, before that.

--- a/internal/upstream/http/hold.go
+++ b/internal/upstream/http/hold.go
@@ -124,13 +124,9 @@
 
 // forwardUnfinished gives the response to the client although its end has not arrived, if that is allowed. The caller holds h.mu.
 func (h *hold) forwardUnfinished() {
-	if !h.mayForwardUnfinished() {
-		return
-	}
-	if buffered, complete := h.content.Pipe.Complete(); buffered == 0 && !complete {
-		h.content.HeadFirst = true
+	if h.mayForwardUnfinished() {
+		h.forward()
 	}
-	h.forward()
 }
 
 // forward reports the outcome, which makes the frontend answer the client. The caller holds h.mu.
@@ -138,6 +134,8 @@
 	x := h.exchange
 	if !h.ended && x.reported.CompareAndSwap(false, true) {
 		x.outcome.BegunAt = h.begunAt
+		buffered, complete := h.content.Pipe.Complete()
+		h.content.HeadFirst = buffered == 0 && !complete
 		x.state.deadline.refresh()
 		x.attempt.Report(x.outcome)
 	}
