--- a/internal/upstream/http/chunked.go
+++ b/internal/upstream/http/chunked.go
@@ -109,10 +109,11 @@
 	if err != nil {
 		return nil, unexpectedEOF(err)
 	}
-	if bytes.IndexByte(line, '\r') != len(line)-2 {
+	head, ended := bytes.CutSuffix(line, []byte("\r\n"))
+	if !ended || bytes.IndexByte(head, '\r') >= 0 {
 		return nil, fmt.Errorf("%w: line end in %q", errMalformedChunk, line)
 	}
-	return line[:len(line)-2], nil
+	return head, nil
 }
 
 // unexpectedEOF returns the error of a read before the end of a body.
--- a/internal/upstream/http/outcome_test.go
+++ b/internal/upstream/http/outcome_test.go
@@ -48,6 +48,7 @@
 		"half a head":               {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Le"), logic.Reset, 0},
 		"half a body":               {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nfine"), logic.Reset, 0},
 		"a chunk with no size":      {testkit.RespondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\nzz\r\nfine\r\n"), logic.Reset, 0},
+		"a chunk with a bare LF":    {testkit.RespondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\n4\r\nfine\r\n0\r\n\r\n"), logic.Reset, 0},
 		"a length of 3 GB":          {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nfine"), logic.Reset, 0},
 		"two lengths":               {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nfine"), logic.Reset, 0},
 		"negative length":           {testkit.RespondWith("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nfine"), logic.Reset, 0},
